--- /dev/null
+++ b/Makefile
@@ -0,0 +1,55 @@
+# The chores of the project. `make help` lists them.
+
+TOOL := go tool -modfile=tools/go.mod
+PACKAGES := ./...
+GO_FILES = $(shell git ls-files --cached --others --exclude-standard '*.go' | grep -v '/brentrypb/')
+
+.PHONY: help
+help: ## List the chores
+	@grep -hE '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/'
+
+.PHONY: build
+build: ## Build the program into ./bergamotroad
+	go build -o bergamotroad .
+
+.PHONY: test
+test: fmt-check lint vet generate-check unit ## Everything that CI checks
+
+.PHONY: unit
+unit: ## Run all tests with the race detector
+	go test -race $(PACKAGES)
+
+.PHONY: vet
+vet: ## Run go vet
+	go vet $(PACKAGES)
+
+.PHONY: fmt
+fmt: ## Format the code
+	$(TOOL) gofumpt -w $(GO_FILES)
+
+.PHONY: fmt-check
+fmt-check: ## Fail where the code is not formatted
+	@unformatted=$$($(TOOL) gofumpt -l $(GO_FILES)); \
+	if [ -n "$$unformatted" ]; then echo "not formatted:"; echo "$$unformatted"; exit 1; fi
+
+.PHONY: lint
+lint: ## Run the linter
+	$(TOOL) revive -config revive.toml -formatter friendly -exclude ./internal/peer/brentrypb/... $(PACKAGES)
+
+.PHONY: generate
+generate: ## Generate code from the .proto files
+	$(TOOL) buf generate
+
+.PHONY: generate-check
+generate-check: ## Fail where generated code is out of date
+	@generated=$$(mktemp -d); trap 'rm -rf "$$generated"' EXIT; \
+	$(TOOL) buf generate --output "$$generated" && \
+	diff -r "$$generated/internal/peer/brentrypb" internal/peer/brentrypb
+
+.PHONY: bench
+bench: ## Run the benchmarks, in the format of benchstat
+	go test -run '^$$' -bench . -benchmem -count 6 $(PACKAGES)
+
+.PHONY: known-red
+known-red: ## Run the tests of faults that are listed in KNOWN-RED.txt
+	go test -tags knownred -run KnownRed $(PACKAGES)
--- /dev/null
+++ b/internal/core/brduty/duty_test.go
@@ -0,0 +1,101 @@
+package brduty_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/core/brduty"
+)
+
+type recorder struct {
+	handled   []int
+	snapshots []string
+	ticks     int
+	block     chan struct{}
+}
+
+func (r *recorder) Handle(_ context.Context, message int) {
+	if message < 0 {
+		panic("negative message")
+	}
+	if r.block != nil {
+		<-r.block
+	}
+	r.handled = append(r.handled, message)
+}
+
+func (r *recorder) Update(_ context.Context, snapshot string) {
+	r.snapshots = append(r.snapshots, snapshot)
+}
+
+func (r *recorder) Tick(context.Context, time.Time) { r.ticks++ }
+
+type observer struct {
+	stalled  atomic.Int32
+	panicked atomic.Int32
+}
+
+func (o *observer) DutyStalled(string, int) { o.stalled.Add(1) }
+
+func (o *observer) DutyPanicked(string, any, []byte) { o.panicked.Add(1) }
+
+func TestDutyTakesMessagesSnapshotsAndTicks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &recorder{}
+		duty := brduty.New("test", r, brclock.NewSystem(), brduty.WithPeriod(time.Second))
+		group := brduty.NewGroup(t.Context(), brclock.NewSystem(), &observer{})
+		for i := range 600 {
+			require.NoError(t, duty.Queue().Send(i))
+		}
+		require.NoError(t, duty.Snapshots().Send("old"))
+		require.NoError(t, duty.Snapshots().Send("new"))
+		group.Start(duty)
+		time.Sleep(2500 * time.Millisecond)
+		synctest.Wait()
+		group.Stop()
+		require.Len(t, r.handled, 600)
+		require.Equal(t, []string{"new"}, r.snapshots)
+		require.Equal(t, 2, r.ticks)
+		require.True(t, duty.Progress().Ended())
+	})
+}
+
+func TestPanicEndsTheGroupAndIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := &observer{}
+		duty := brduty.New[int, string]("test", &recorder{}, brclock.NewSystem())
+		other := brduty.New[int, string]("other", &recorder{}, brclock.NewSystem())
+		group := brduty.NewGroup(t.Context(), brclock.NewSystem(), o)
+		group.Start(duty, other)
+		require.NoError(t, duty.Queue().Send(-1))
+		<-group.Context().Done()
+		group.Stop()
+		require.EqualValues(t, 1, o.panicked.Load())
+		require.ErrorAs(t, context.Cause(group.Context()), &brduty.ErrPanicked{})
+		require.True(t, other.Progress().Ended())
+		require.Error(t, duty.Queue().Send(1), "a dead duty takes no messages")
+	})
+}
+
+func TestWatchdogReportsADutyThatTakesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := &observer{}
+		r := &recorder{block: make(chan struct{})}
+		duty := brduty.New("test", r, brclock.NewSystem(), brduty.WithPeriod(time.Hour))
+		group := brduty.NewGroup(t.Context(), brclock.NewSystem(), o)
+		group.Start(duty)
+		require.NoError(t, duty.Queue().Send(1))
+		require.NoError(t, duty.Queue().Send(2))
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		require.Positive(t, o.stalled.Load())
+		close(r.block)
+		group.Stop()
+	})
+}
--- /dev/null
+++ b/internal/core/brduty/group.go
@@ -0,0 +1,123 @@
+package brduty
+
+import (
+	"context"
+	"fmt"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+)
+
+// stallAfter is how long a duty may leave waiting messages untouched before
+// the watchdog reports it.
+const stallAfter = 2 * time.Second
+
+// Runner is a duty of any message type.
+type Runner interface {
+	// Name returns the duty's name.
+	Name() string
+	// Progress returns how far the duty has come.
+	Progress() Progress
+	// Run handles messages until the context ends.
+	Run(ctx context.Context)
+}
+
+// Progress is a reading of a duty's advance.
+type Progress struct {
+	rounds  uint64
+	waiting int
+	ended   bool
+}
+
+// Waiting returns the number of messages that wait for the duty.
+func (p Progress) Waiting() int { return p.waiting }
+
+// Ended reports whether the duty's goroutine has returned.
+func (p Progress) Ended() bool { return p.ended }
+
+// StalledSince reports whether messages wait and none was taken since the earlier reading.
+func (p Progress) StalledSince(earlier Progress) bool {
+	return !p.ended && p.waiting > 0 && earlier.waiting > 0 && p.rounds == earlier.rounds
+}
+
+// Observer hears what goes wrong with duties.
+type Observer interface {
+	// DutyStalled is called when a duty takes no messages although some wait.
+	DutyStalled(name string, waiting int)
+	// DutyPanicked is called when a duty has panicked.
+	DutyPanicked(name string, value any, stack []byte)
+}
+
+// ErrPanicked says that a duty panicked.
+type ErrPanicked struct {
+	duty  string
+	value any
+}
+
+// Error returns the duty's name and the value of the panic.
+func (e ErrPanicked) Error() string {
+	return fmt.Sprintf("duty %q panicked: %v", e.duty, e.value)
+}
+
+// Group runs duties together.
+type Group struct {
+	clock    brclock.Clock
+	observer Observer
+	wait     sync.WaitGroup
+	cancel   context.CancelCauseFunc
+	context  context.Context
+}
+
+// NewGroup returns a group whose duties end with the context.
+func NewGroup(ctx context.Context, clock brclock.Clock, observer Observer) *Group {
+	inner, cancel := context.WithCancelCause(ctx)
+	return &Group{clock: clock, observer: observer, cancel: cancel, context: inner}
+}
+
+// Context returns the context that ends when the group does; its cause tells why.
+func (g *Group) Context() context.Context { return g.context }
+
+// Start runs each duty on a goroutine of its own and a watchdog beside it.
+func (g *Group) Start(duties ...Runner) {
+	for _, d := range duties {
+		g.wait.Go(func() { g.run(d) })
+		g.wait.Go(func() { g.watch(d) })
+	}
+}
+
+// Stop ends all duties and waits for them.
+func (g *Group) Stop() {
+	g.cancel(nil)
+	g.wait.Wait()
+}
+
+func (g *Group) run(d Runner) {
+	defer func() {
+		if value := recover(); value != nil {
+			g.observer.DutyPanicked(d.Name(), value, debug.Stack())
+			g.cancel(ErrPanicked{duty: d.Name(), value: value})
+		}
+	}()
+	d.Run(g.context)
+}
+
+func (g *Group) watch(d Runner) {
+	timer := g.clock.NewTimer(stallAfter)
+	defer timer.Stop()
+	earlier := d.Progress()
+	for {
+		select {
+		case <-g.context.Done():
+			return
+		case <-timer.C():
+		}
+		now := d.Progress()
+		if now.StalledSince(earlier) {
+			g.observer.DutyStalled(d.Name(), now.Waiting())
+		}
+		earlier = now
+		timer.Reset(stallAfter)
+	}
+}
