--- /dev/null
+++ b/internal/codec/brdocument/head.go
@@ -0,0 +1,80 @@
+package brdocument
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+
+	"github.com/go-faster/errors"
+)
+
+// HeadKey is the key of the table's row that names the newest generation.
+const HeadKey = "configuration/head"
+
+// Head names the newest accepted generation.
+type Head struct {
+	generation uint64
+	operation  string
+	digest     string
+}
+
+// NewHead returns the head that an operation makes of an encoded delta.
+func NewHead(generation uint64, operation string, delta []byte) Head {
+	return Head{generation: generation, operation: operation, digest: Digest(delta)}
+}
+
+// Generation returns the newest generation.
+func (h Head) Generation() uint64 { return h.generation }
+
+// Operation returns the identifier of the operation that made it.
+func (h Head) Operation() string { return h.operation }
+
+// Digest returns the digest of its delta.
+func (h Head) Digest() string { return h.digest }
+
+// DeltaName returns the name of the object that holds the delta.
+func (h Head) DeltaName() string { return DeltaName(h.generation, h.operation) }
+
+// DeltaName returns the name of the object that holds the delta of an operation.
+func DeltaName(generation uint64, operation string) string {
+	return fmt.Sprintf("deltas/%020d-%s.json", generation, operation)
+}
+
+// Digest returns the SHA-256 of data in hexadecimal.
+func Digest(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+type headDocument struct {
+	Generation uint64 `json:"generation"`
+	Operation  string `json:"operation"`
+	Digest     string `json:"digest"`
+}
+
+// EncodeHead writes a head.
+func EncodeHead(head Head) ([]byte, error) {
+	data, err := json.Marshal(documentOfHead(head))
+	if err != nil {
+		return nil, errors.Errorf("encode head %d: %w", head.generation, err)
+	}
+	return data, nil
+}
+
+// DecodeHead reads a head.
+func DecodeHead(data []byte) (Head, error) {
+	var document headDocument
+	if err := strictly(data, &document); err != nil {
+		return Head{}, errors.Errorf("read head: %w", err)
+	}
+	return document.head(), nil
+}
+
+func documentOfHead(head Head) headDocument {
+	return headDocument{Generation: head.generation, Operation: head.operation, Digest: head.digest}
+}
+
+func (d headDocument) head() Head {
+	return Head{generation: d.Generation, operation: d.Operation, digest: d.Digest}
+}
--- /dev/null
+++ b/internal/decide/brroute/matcher.go
@@ -0,0 +1,59 @@
+// Package brroute decides which route a request takes.
+//
+// The route with the longest path prefix wins; among routes of one prefix the
+// one that names the method goes before the one that takes all methods.
+//
+// # Usage
+//
+//	matcher := brroute.NewMatcher(snapshot)
+//	route, ok := matcher.Match("GET", "/cylinders/7").Get()
+package brroute
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"bergamotroad.example/bergamotroad/internal/core/broption"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+)
+
+// Matcher finds the route of a request. It is immutable.
+type Matcher struct {
+	routes []brconfig.Route
+}
+
+// NewMatcher returns the routes of a snapshot.
+func NewMatcher(snapshot *brconfig.Snapshot) *Matcher {
+	routes := slices.Collect(snapshot.Routes().All())
+	slices.SortStableFunc(routes, func(a, b brconfig.Route) int {
+		if c := cmp.Compare(len(b.PathPrefix()), len(a.PathPrefix())); c != 0 {
+			return c
+		}
+		return cmp.Compare(len(b.Methods()), len(a.Methods()))
+	})
+	return &Matcher{routes: routes}
+}
+
+// Match returns the route of a request, if there is one.
+func (m *Matcher) Match(method, path string) broption.Option[brconfig.Route] {
+	for _, r := range m.routes {
+		if covers(r.PathPrefix(), path) && accepts(r.Methods(), method) {
+			return broption.Some(r)
+		}
+	}
+	return broption.None[brconfig.Route]()
+}
+
+// covers reports whether path lies under prefix, at a boundary of segments.
+func covers(prefix, path string) bool {
+	rest, ok := strings.CutPrefix(path, prefix)
+	if !ok {
+		return false
+	}
+	return rest == "" || strings.HasSuffix(prefix, "/") || rest[0] == '/'
+}
+
+func accepts(methods []string, method string) bool {
+	return len(methods) == 0 || slices.Contains(methods, method)
+}
--- /dev/null
+++ b/internal/model/brconfig/block.go
@@ -0,0 +1,54 @@
+package brconfig
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// Distance is how far a site is from the clients of a block.
+type Distance struct {
+	site      string
+	roundTrip time.Duration
+}
+
+// NewDistance returns the round-trip time to a site.
+func NewDistance(site string, roundTrip time.Duration) Distance {
+	return Distance{site: site, roundTrip: roundTrip}
+}
+
+// Site returns the name of the site.
+func (d Distance) Site() string { return d.site }
+
+// RoundTrip returns the round-trip time.
+func (d Distance) RoundTrip() time.Duration { return d.roundTrip }
+
+// Block is a range of client addresses that are steered alike.
+type Block struct {
+	Meta
+	prefix    netip.Prefix
+	distances []Distance
+}
+
+// NewBlock returns a block with the distances to its candidate sites.
+func NewBlock(meta Meta, prefix netip.Prefix, distances []Distance) Block {
+	return Block{Meta: meta, prefix: prefix, distances: slices.Clone(distances)}
+}
+
+// Kind returns KindBlock.
+func (Block) Kind() Kind { return KindBlock }
+
+// References returns the candidate sites.
+func (b Block) References() []Reference {
+	references := make([]Reference, 0, len(b.distances))
+	for _, d := range b.distances {
+		references = append(references, NewReference(KindSite, d.site))
+	}
+	return references
+}
+
+// Prefix returns the range of addresses.
+func (b Block) Prefix() netip.Prefix { return b.prefix }
+
+// Distances returns the candidate sites. The caller must not change the slice.
+func (b Block) Distances() []Distance { return b.distances }
--- /dev/null
+++ b/internal/model/brconfig/organisation.go
@@ -0,0 +1,161 @@
+package brconfig
+
+import (
+	"time"
+
+	"bergamotroad.example/bergamotroad/internal/model/brunit"
+)
+
+// defaultKeyAge bounds how old a VM's knowledge of keys may be.
+const defaultKeyAge = 5 * time.Second
+
+// Organisation is a tenant whose callers present keys.
+type Organisation struct {
+	Meta
+	weight int
+	keyAge time.Duration
+}
+
+// NewOrganisation returns an organisation of weight one.
+func NewOrganisation(meta Meta) Organisation {
+	return Organisation{Meta: meta, weight: 1, keyAge: defaultKeyAge}
+}
+
+// WithWeight returns the organisation with its weight in fair queues.
+func (o Organisation) WithWeight(weight int) Organisation {
+	o.weight = weight
+	return o
+}
+
+// WithKeyAge returns the organisation with the age beyond which unconfirmed
+// knowledge of its keys is not honoured.
+func (o Organisation) WithKeyAge(age time.Duration) Organisation {
+	o.keyAge = age
+	return o
+}
+
+// Kind returns KindOrganisation.
+func (Organisation) Kind() Kind { return KindOrganisation }
+
+// References returns none.
+func (Organisation) References() []Reference { return nil }
+
+// Weight returns the weight in fair queues.
+func (o Organisation) Weight() int { return o.weight }
+
+// KeyAge returns the age beyond which unconfirmed knowledge of keys is not honoured.
+func (o Organisation) KeyAge() time.Duration { return o.keyAge }
+
+// Key is a caller's key, kept as a hash.
+type Key struct {
+	Meta
+	organisation string
+	hash         string
+}
+
+// NewKey returns a key of an organisation from the SHA-256 of the key in
+// lower-case hexadecimal.
+func NewKey(meta Meta, organisation, hash string) Key {
+	return Key{Meta: meta, organisation: organisation, hash: hash}
+}
+
+// Kind returns KindKey.
+func (Key) Kind() Kind { return KindKey }
+
+// References returns the organisation.
+func (k Key) References() []Reference {
+	return []Reference{NewReference(KindOrganisation, k.organisation)}
+}
+
+// Organisation returns the name of the organisation.
+func (k Key) Organisation() string { return k.organisation }
+
+// Hash returns the SHA-256 of the key in lower-case hexadecimal.
+func (k Key) Hash() string { return k.hash }
+
+// Unit says what one request weighs in a contract's terms.
+type Unit struct {
+	Meta
+	standard brunit.Amount
+	weights  map[string]brunit.Amount
+}
+
+// NewUnit returns a unit in which each request weighs the standard amount.
+func NewUnit(meta Meta, standard brunit.Amount) Unit {
+	return Unit{Meta: meta, standard: standard}
+}
+
+// WithWeight returns the unit with the weight of one request of a route.
+func (u Unit) WithWeight(route string, weight brunit.Amount) Unit {
+	weights := make(map[string]brunit.Amount, len(u.weights)+1)
+	for r, w := range u.weights {
+		weights[r] = w
+	}
+	weights[route] = weight
+	u.weights = weights
+	return u
+}
+
+// Kind returns KindUnit.
+func (Unit) Kind() Kind { return KindUnit }
+
+// References returns the routes with a weight of their own.
+func (u Unit) References() []Reference {
+	references := make([]Reference, 0, len(u.weights))
+	for route := range u.weights {
+		references = append(references, NewReference(KindRoute, route))
+	}
+	return references
+}
+
+// Standard returns the weight of one request of any other route.
+func (u Unit) Standard() brunit.Amount { return u.standard }
+
+// Weights returns the weights by route. The caller must not change the map.
+func (u Unit) Weights() map[string]brunit.Amount { return u.weights }
+
+// Weight returns the weight of one request of a route.
+func (u Unit) Weight(route string) brunit.Amount {
+	if w, ok := u.weights[route]; ok {
+		return w
+	}
+	return u.standard
+}
+
+// Contract is what an organisation may send.
+type Contract struct {
+	Meta
+	organisation string
+	unit         string
+	rate         brunit.Amount
+	period       time.Duration
+	burst        brunit.Amount
+}
+
+// NewContract returns a contract for so many units a period, with a burst in units.
+func NewContract(meta Meta, organisation, unit string, rate brunit.Amount, period time.Duration, burst brunit.Amount) Contract {
+	return Contract{Meta: meta, organisation: organisation, unit: unit, rate: rate, period: period, burst: burst}
+}
+
+// Kind returns KindContract.
+func (Contract) Kind() Kind { return KindContract }
+
+// References returns the organisation and the unit.
+func (c Contract) References() []Reference {
+	return []Reference{NewReference(KindOrganisation, c.organisation), NewReference(KindUnit, c.unit)}
+}
+
+// Organisation returns the name of the organisation.
+func (c Contract) Organisation() string { return c.organisation }
+
+// Unit returns the name of the unit.
+func (c Contract) Unit() string { return c.unit }
+
+// Rate returns the units of one period.
+func (c Contract) Rate() brunit.Amount { return c.rate }
+
+// Period returns the period of the rate.
+func (c Contract) Period() time.Duration { return c.period }
+
+// Burst returns the units that may be used at once.
+func (c Contract) Burst() brunit.Amount { return c.burst }
--- /dev/null
+++ b/internal/model/brconfig/table.go
@@ -0,0 +1,102 @@
+package brconfig
+
+import (
+	"iter"
+
+	"github.com/benbjohnson/immutable"
+
+	"bergamotroad.example/bergamotroad/internal/core/broption"
+)
+
+// Table is an immutable table of the resources of one kind, by name. Tables of
+// successive generations share what did not change.
+type Table[T Resource] struct {
+	rows *immutable.SortedMap[string, T]
+}
+
+// Get returns the resource of a name.
+func (t Table[T]) Get(name string) broption.Option[T] {
+	if t.rows == nil {
+		return broption.None[T]()
+	}
+	row, ok := t.rows.Get(name)
+	return broption.Of(row, ok)
+}
+
+// Len returns the number of resources.
+func (t Table[T]) Len() int {
+	if t.rows == nil {
+		return 0
+	}
+	return t.rows.Len()
+}
+
+// All iterates over the resources by ascending name.
+func (t Table[T]) All() iter.Seq[T] {
+	return func(yield func(T) bool) {
+		if t.rows == nil {
+			return
+		}
+		rows := t.rows.Iterator()
+		for !rows.Done() {
+			_, row, _ := rows.Next()
+			if !yield(row) {
+				return
+			}
+		}
+	}
+}
+
+func (t Table[T]) with(row T) Table[T] {
+	rows := t.rows
+	if rows == nil {
+		rows = immutable.NewSortedMap[string, T](nil)
+	}
+	return Table[T]{rows: rows.Set(row.Name(), row)}
+}
+
+func (t Table[T]) without(name string) Table[T] {
+	if t.rows == nil {
+		return t
+	}
+	return Table[T]{rows: t.rows.Delete(name)}
+}
+
+// store is a table of any kind.
+type store interface {
+	get(name string) broption.Option[Resource]
+	all() iter.Seq[Resource]
+	put(row Resource) (store, bool)
+	remove(name string) store
+}
+
+type storeOf[T Resource] struct {
+	table Table[T]
+}
+
+func (s storeOf[T]) get(name string) broption.Option[Resource] {
+	row, ok := s.table.Get(name).Get()
+	return broption.Of[Resource](row, ok)
+}
+
+func (s storeOf[T]) all() iter.Seq[Resource] {
+	return func(yield func(Resource) bool) {
+		for row := range s.table.All() {
+			if !yield(row) {
+				return
+			}
+		}
+	}
+}
+
+func (s storeOf[T]) put(row Resource) (store, bool) {
+	typed, ok := row.(T)
+	if !ok {
+		return s, false
+	}
+	return storeOf[T]{table: s.table.with(typed)}, true
+}
+
+func (s storeOf[T]) remove(name string) store {
+	return storeOf[T]{table: s.table.without(name)}
+}
--- /dev/null
+++ b/internal/model/brevent/event.go
@@ -0,0 +1,127 @@
+// Package brevent provides the typed events of the time line.
+//
+// An event says what happened, when by the hybrid clock, on which VM of which
+// failure domain, and to whom: organisation, request, move, resource.
+//
+// # Usage
+//
+//	event := brevent.New(brevent.KindRequestAnswered).
+//		WithOrganisation("taller-norte").
+//		WithRequest(id).
+//		WithDetail("status", "200")
+//
+// The time line stamps the event with clock, VM and failure domain.
+package brevent
+
+import (
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/model/brlabel"
+)
+
+// Kind names what happened.
+type Kind string
+
+// The kinds of events. Areas that need more define them beside these, a file each.
+const (
+	KindVMStarted         Kind = "vm-started"
+	KindVMLeaving         Kind = "vm-leaving"
+	KindVMStopped         Kind = "vm-stopped"
+	KindDutyStalled       Kind = "duty-stalled"
+	KindDutyPanicked      Kind = "duty-panicked"
+	KindHandlerPanicked   Kind = "handler-panicked"
+	KindConfigurationUsed Kind = "configuration-in-force"
+	KindLookup            Kind = "lookup"
+	KindRequestAdmitted   Kind = "request-admitted"
+	KindRequestRefused    Kind = "request-refused"
+	KindRequestSent       Kind = "request-sent"
+	KindRequestAnswered   Kind = "request-answered"
+)
+
+// Event is one entry of the time line. It is immutable.
+type Event struct {
+	kind         Kind
+	stamp        brclock.Stamp
+	vm           string
+	domain       string
+	organisation string
+	request      string
+	move         string
+	resource     string
+	details      brlabel.Labels
+}
+
+// New returns an event of a kind, without stamp.
+func New(kind Kind) Event {
+	return Event{kind: kind}
+}
+
+// WithOrigin returns the event with its stamp, VM and failure domain.
+func (e Event) WithOrigin(stamp brclock.Stamp, vm, domain string) Event {
+	e.stamp = stamp
+	e.vm = vm
+	e.domain = domain
+	return e
+}
+
+// WithOrganisation returns the event with an organisation's name.
+func (e Event) WithOrganisation(name string) Event {
+	e.organisation = name
+	return e
+}
+
+// WithRequest returns the event with a request's identifier.
+func (e Event) WithRequest(id string) Event {
+	e.request = id
+	return e
+}
+
+// WithMove returns the event with a move's name.
+func (e Event) WithMove(name string) Event {
+	e.move = name
+	return e
+}
+
+// WithResource returns the event with the name of the resource it is about.
+func (e Event) WithResource(name string) Event {
+	e.resource = name
+	return e
+}
+
+// WithDetail returns the event with one more detail.
+func (e Event) WithDetail(name, value string) Event {
+	e.details = e.details.With(name, value)
+	return e
+}
+
+// WithDetails returns the event with the given details in place of its own.
+func (e Event) WithDetails(details brlabel.Labels) Event {
+	e.details = details
+	return e
+}
+
+// Kind returns what happened.
+func (e Event) Kind() Kind { return e.kind }
+
+// Stamp returns when it happened.
+func (e Event) Stamp() brclock.Stamp { return e.stamp }
+
+// VM returns the name of the VM on which it happened.
+func (e Event) VM() string { return e.vm }
+
+// Domain returns the failure domain of the VM.
+func (e Event) Domain() string { return e.domain }
+
+// Organisation returns the organisation's name, or none as "".
+func (e Event) Organisation() string { return e.organisation }
+
+// Request returns the request's identifier, or none as "".
+func (e Event) Request() string { return e.request }
+
+// Move returns the move's name, or none as "".
+func (e Event) Move() string { return e.move }
+
+// Resource returns the name of the resource, or none as "".
+func (e Event) Resource() string { return e.resource }
+
+// Details returns further facts by name.
+func (e Event) Details() brlabel.Labels { return e.details }
--- /dev/null
+++ b/internal/model/brmessage/message.go
@@ -0,0 +1,137 @@
+// Package brmessage provides a request and an answer as they are passed on,
+// apart from the protocol that carried them.
+//
+// # Usage
+//
+//	call := brmessage.NewCall("GET", "/cylinders/7?full=1", brmessage.NewFields(nil), nil, 0)
+//	answer := brmessage.NewAnswer(200, fields, body, nil)
+//	defer answer.Close()
+package brmessage
+
+import (
+	"io"
+	"iter"
+	"slices"
+
+	"github.com/go-faster/errors"
+)
+
+// Fields are the header fields of a message, by canonical name.
+type Fields struct {
+	values map[string][]string
+}
+
+// NewFields returns fields over the values, which the caller gives away.
+func NewFields(values map[string][]string) Fields {
+	if values == nil {
+		values = map[string][]string{}
+	}
+	return Fields{values: values}
+}
+
+// First returns the first value of a field, or "".
+func (f Fields) First(name string) string {
+	if values := f.values[name]; len(values) > 0 {
+		return values[0]
+	}
+	return ""
+}
+
+// Set replaces the values of a field.
+func (f Fields) Set(name, value string) {
+	f.values[name] = []string{value}
+}
+
+// Remove deletes a field.
+func (f Fields) Remove(name string) {
+	delete(f.values, name)
+}
+
+// Clone returns a copy.
+func (f Fields) Clone() Fields {
+	values := make(map[string][]string, len(f.values))
+	for name, list := range f.values {
+		values[name] = slices.Clone(list)
+	}
+	return Fields{values: values}
+}
+
+// All iterates over the fields in no particular order. The values must not be changed.
+func (f Fields) All() iter.Seq2[string, []string] {
+	return func(yield func(string, []string) bool) {
+		for name, list := range f.values {
+			if !yield(name, list) {
+				return
+			}
+		}
+	}
+}
+
+// Call is a request as it is passed on to a backend server.
+type Call struct {
+	method string
+	target string
+	fields Fields
+	body   io.Reader
+	size   int64
+}
+
+// NewCall returns a request with an encoded path and query. The body is nil
+// where there is none; size is in bytes, or -1 where it is unknown.
+func NewCall(method, target string, fields Fields, body io.Reader, size int64) Call {
+	return Call{method: method, target: target, fields: fields, body: body, size: size}
+}
+
+// Method returns the method.
+func (c Call) Method() string { return c.method }
+
+// Target returns the encoded path and query.
+func (c Call) Target() string { return c.target }
+
+// Fields returns the header fields.
+func (c Call) Fields() Fields { return c.fields }
+
+// Body returns the body, or nil.
+func (c Call) Body() io.Reader { return c.body }
+
+// Size returns the size of the body in bytes, or -1.
+func (c Call) Size() int64 { return c.size }
+
+// Answer is an answer as it arrives from a backend server.
+type Answer struct {
+	status   int
+	fields   Fields
+	body     io.ReadCloser
+	trailers func() Fields
+}
+
+// NewAnswer returns an answer whose body is still to be read. The trailers are
+// asked for after the end of the body; nil stands for none.
+func NewAnswer(status int, fields Fields, body io.ReadCloser, trailers func() Fields) *Answer {
+	return &Answer{status: status, fields: fields, body: body, trailers: trailers}
+}
+
+// Status returns the status code.
+func (a *Answer) Status() int { return a.status }
+
+// Fields returns the header fields.
+func (a *Answer) Fields() Fields { return a.fields }
+
+// Body returns the body. Its end without error is the end of a whole answer.
+func (a *Answer) Body() io.Reader { return a.body }
+
+// Trailers returns the fields that followed the body.
+func (a *Answer) Trailers() Fields {
+	if a.trailers == nil {
+		return NewFields(nil)
+	}
+	return a.trailers()
+}
+
+// Close ends the answer, also where its body was not read to the end.
+func (a *Answer) Close() error {
+	if err := a.body.Close(); err != nil {
+		return errors.Errorf("close answer: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/model/brrequest/fate.go
@@ -0,0 +1,90 @@
+package brrequest
+
+import (
+	"time"
+
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+)
+
+// Fate says whether a request ran on a backend server.
+type Fate string
+
+// The fates of a request.
+const (
+	// FateNotRun means that no byte of the request could have reached a
+	// server, or that the server refused it before running it.
+	FateNotRun Fate = "not-run"
+	// FateRan means that a server answered the request.
+	FateRan Fate = "ran"
+	// FateUnknown means that a server may or may not have run the request.
+	FateUnknown Fate = "unknown"
+)
+
+// Reason says why a request was refused or failed.
+type Reason string
+
+// The reasons for refusals and failures.
+const (
+	ReasonNone            Reason = ""
+	ReasonNoConfiguration Reason = "no-configuration"
+	ReasonNoRoute         Reason = "no-route"
+	ReasonNoKey           Reason = "no-key"
+	ReasonUnknownKey      Reason = "unknown-key"
+	ReasonOverRate        Reason = "over-rate"
+	ReasonOverloaded      Reason = "overloaded"
+	ReasonNoServer        Reason = "no-server"
+	ReasonLeaving         Reason = "vm-leaving"
+	ReasonDeadline        Reason = "deadline-passed"
+	ReasonBodyTooLarge    Reason = "body-too-large"
+	ReasonServerFailed    Reason = "server-failed"
+	ReasonCallerGone      Reason = "caller-gone"
+)
+
+// Verdict is the answer of admission to a request.
+type Verdict struct {
+	reason       Reason
+	retryAfter   time.Duration
+	organisation string
+	route        brconfig.Route
+	generation   uint64
+	weight       int
+}
+
+// Admit returns the verdict that a request may run for an organisation, which
+// is "" on a route open to all.
+func Admit(organisation string, route brconfig.Route, generation uint64) Verdict {
+	return Verdict{organisation: organisation, route: route, generation: generation, weight: 1}
+}
+
+// WithWeight returns the verdict with the organisation's weight in fair queues.
+func (v Verdict) WithWeight(weight int) Verdict {
+	v.weight = weight
+	return v
+}
+
+// Refuse returns the verdict that a request does not run, and after what time
+// another try makes sense; 0 says nothing of that.
+func Refuse(reason Reason, organisation string, retryAfter time.Duration) Verdict {
+	return Verdict{reason: reason, organisation: organisation, retryAfter: retryAfter}
+}
+
+// Admitted reports whether the request may run.
+func (v Verdict) Admitted() bool { return v.reason == ReasonNone }
+
+// Reason returns why the request was refused.
+func (v Verdict) Reason() Reason { return v.reason }
+
+// RetryAfter returns the time after which another try makes sense, or 0.
+func (v Verdict) RetryAfter() time.Duration { return v.retryAfter }
+
+// Organisation returns the organisation whose key came with the request.
+func (v Verdict) Organisation() string { return v.organisation }
+
+// Route returns the route of an admitted request.
+func (v Verdict) Route() brconfig.Route { return v.route }
+
+// Weight returns the organisation's weight in fair queues.
+func (v Verdict) Weight() int { return v.weight }
+
+// Generation returns the generation of the configuration that was used.
+func (v Verdict) Generation() uint64 { return v.generation }
--- /dev/null
+++ b/internal/model/brrequest/placement.go
@@ -0,0 +1,53 @@
+package brrequest
+
+import (
+	"slices"
+	"time"
+)
+
+// Placement asks for a slot of a backend server. It is immutable.
+type Placement struct {
+	service      string
+	organisation string
+	weight       int
+	deadline     time.Time
+	avoided      []string
+}
+
+// NewPlacement asks for a server of a service for an organisation of weight one.
+func NewPlacement(service, organisation string) Placement {
+	return Placement{service: service, organisation: organisation, weight: 1}
+}
+
+// WithWeight returns the placement with the organisation's weight in fair queues.
+func (p Placement) WithWeight(weight int) Placement {
+	p.weight = weight
+	return p
+}
+
+// WithDeadline returns the placement with the time at which it is given up.
+func (p Placement) WithDeadline(deadline time.Time) Placement {
+	p.deadline = deadline
+	return p
+}
+
+// Avoiding returns the placement with one more server that is not wanted.
+func (p Placement) Avoiding(server string) Placement {
+	p.avoided = append(slices.Clip(p.avoided), server)
+	return p
+}
+
+// Service returns the name of the service.
+func (p Placement) Service() string { return p.service }
+
+// Organisation returns the name of the organisation, or none as "".
+func (p Placement) Organisation() string { return p.organisation }
+
+// Weight returns the organisation's weight in fair queues.
+func (p Placement) Weight() int { return p.weight }
+
+// Deadline returns the time at which the placement is given up, or the zero time.
+func (p Placement) Deadline() time.Time { return p.deadline }
+
+// Avoids reports whether a server is not wanted.
+func (p Placement) Avoids(server string) bool { return slices.Contains(p.avoided, server) }
--- /dev/null
+++ b/internal/model/brunit/amount.go
@@ -0,0 +1,57 @@
+// Package brunit provides exact amounts of the units that contracts quote.
+//
+// An amount is a rational number. Arithmetic on it never rounds.
+//
+// # Usage
+//
+//	weight, err := brunit.Parse("3/4")
+//	total := weight.Times(8) // 6
+package brunit
+
+import (
+	"math/big"
+
+	"github.com/go-faster/errors"
+)
+
+// Amount is an immutable rational number of units. The zero Amount is 0.
+type Amount struct {
+	value *big.Rat
+}
+
+// New returns the amount numerator/denominator; the denominator must not be 0.
+func New(numerator, denominator int64) Amount {
+	return Amount{value: big.NewRat(numerator, denominator)}
+}
+
+// Parse reads an amount such as "30", "2.5" or "3/4".
+func Parse(text string) (Amount, error) {
+	value, ok := new(big.Rat).SetString(text)
+	if !ok {
+		return Amount{}, errors.Errorf("%q is not a rational number", text)
+	}
+	return Amount{value: value}, nil
+}
+
+// Rat returns a copy of the value.
+func (a Amount) Rat() *big.Rat {
+	if a.value == nil {
+		return new(big.Rat)
+	}
+	return new(big.Rat).Set(a.value)
+}
+
+// Times returns the amount multiplied by a count.
+func (a Amount) Times(count int64) Amount {
+	factor := new(big.Rat).SetInt64(count)
+	return Amount{value: factor.Mul(factor, a.Rat())}
+}
+
+// Sign returns -1, 0 or 1.
+func (a Amount) Sign() int { return a.Rat().Sign() }
+
+// Compare returns -1, 0 or 1 as a is less than, equal to or more than b.
+func (a Amount) Compare(b Amount) int { return a.Rat().Cmp(b.Rat()) }
+
+// String returns the amount as Parse reads it.
+func (a Amount) String() string { return a.Rat().RatString() }
