Serve one path from end to end, each part a process of its own

Conclusion: a caller looks up a VM, calls it with its key, is admitted, routed and answered, and every step is on the time line.

--- /dev/null
+++ b/internal/command/brcommand/check.go
@@ -0,0 +1,22 @@
+package brcommand
+
+import (
+	"github.com/spf13/cobra"
+
+	"bergamotroad.example/bergamotroad/internal/service/brsettings"
+)
+
+func newCheck() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check SETTINGS",
+		Short: "Check the settings in a file without starting anything",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(command *cobra.Command, arguments []string) error {
+			if _, err := brsettings.Load(arguments[0]); err != nil {
+				return err
+			}
+			command.Println("settings are valid")
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/internal/command/brcommand/root.go
@@ -0,0 +1,52 @@
+// Package brcommand provides the command line.
+//
+// Commands are thin: they load settings, make services and run them.
+//
+// # Usage
+//
+//	os.Exit(brcommand.Main(os.Args[1:], os.Stdout, os.Stderr))
+package brcommand
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+)
+
+// Exit codes of the program.
+const (
+	exitSuccess = 0
+	exitFailure = 1
+)
+
+// Main runs the program with its arguments and returns its exit code.
+func Main(arguments []string, output, errorOutput io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	// A second signal ends the program at once.
+	context.AfterFunc(ctx, stop)
+	root := newRoot()
+	root.SetArgs(arguments)
+	root.SetOut(output)
+	root.SetErr(errorOutput)
+	if err := root.ExecuteContext(ctx); err != nil {
+		_, _ = fmt.Fprintln(errorOutput, "bergamotroad:", err)
+		return exitFailure
+	}
+	return exitSuccess
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "bergamotroad",
+		Short:         "Global traffic steering",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(newServe(), newCheck(), newVersion())
+	return root
+}
--- /dev/null
+++ b/internal/duty/bradmission/duty.go
@@ -0,0 +1,116 @@
+// Package bradmission provides the duty that admits or refuses requests.
+//
+// It owns the buckets of the organisations on this VM, and asks the decisions
+// for route, key and limit of each request.
+//
+// # Usage
+//
+//	admission := bradmission.New(clock)
+//	group.Start(admission.Duty())
+//	admission.Snapshots().Send(snapshot)
+//	verdict, err := admission.Admit(ctx, request)
+package bradmission
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/core/brduty"
+	"bergamotroad.example/bergamotroad/internal/core/brring"
+	"bergamotroad.example/bergamotroad/internal/decide/brkey"
+	"bergamotroad.example/bergamotroad/internal/decide/brroute"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+)
+
+const queueCapacity = 4096 // requests
+
+type message struct {
+	request brrequest.Request
+	reply   brring.Reply[brrequest.Verdict]
+}
+
+// Admission is the duty with the calls that reach it.
+type Admission struct {
+	duty     *brduty.Duty[message, *brconfig.Snapshot]
+	verdicts *brring.ReplyPool[brrequest.Verdict]
+}
+
+// New returns the duty; it refuses everything before the first snapshot.
+func New(clock brclock.Clock) *Admission {
+	h := &handler{clock: clock}
+	return &Admission{
+		duty:     brduty.New("admission", h, clock, brduty.WithCapacity(queueCapacity)),
+		verdicts: brring.NewReplyPool[brrequest.Verdict](),
+	}
+}
+
+// Duty returns the duty to be started.
+func (a *Admission) Duty() brduty.Runner { return a.duty }
+
+// Snapshots returns the ring that takes the configuration.
+func (a *Admission) Snapshots() *brring.Latest[*brconfig.Snapshot] { return a.duty.Snapshots() }
+
+// Admit returns the verdict on a request. A full ring refuses it as overloaded.
+func (a *Admission) Admit(ctx context.Context, request brrequest.Request) (brrequest.Verdict, error) {
+	verdict, err := brring.Ask(ctx, a.duty.Queue(), a.verdicts, func(reply brring.Reply[brrequest.Verdict]) message {
+		return message{request: request, reply: reply}
+	})
+	if brring.IsErrFull(err) {
+		return brrequest.Refuse(brrequest.ReasonOverloaded, "", time.Second), nil
+	}
+	if err != nil {
+		return brrequest.Verdict{}, errors.Errorf("admit request %s: %w", request.ID(), err)
+	}
+	return verdict, nil
+}
+
+type handler struct {
+	clock    brclock.Clock
+	snapshot *brconfig.Snapshot
+	keys     *brkey.Keychain
+	routes   *brroute.Matcher
+}
+
+// Handle answers one request.
+func (h *handler) Handle(_ context.Context, m message) {
+	m.reply.Answer(h.verdict(m.request))
+}
+
+// Update takes a new configuration.
+func (h *handler) Update(_ context.Context, snapshot *brconfig.Snapshot) {
+	h.snapshot = snapshot
+	h.keys = brkey.NewKeychain(snapshot)
+	h.routes = brroute.NewMatcher(snapshot)
+}
+
+// Tick does nothing yet.
+func (*handler) Tick(context.Context, time.Time) {}
+
+func (h *handler) verdict(request brrequest.Request) brrequest.Verdict {
+	if h.snapshot == nil {
+		return brrequest.Refuse(brrequest.ReasonNoConfiguration, "", time.Second)
+	}
+	route, ok := h.routes.Match(request.Method(), request.Path()).Get()
+	if !ok {
+		return brrequest.Refuse(brrequest.ReasonNoRoute, "", 0)
+	}
+	if request.KeyHash().IsZero() {
+		return h.withoutKey(route)
+	}
+	organisation, ok := h.keys.Organisation(request.KeyHash()).Get()
+	if !ok && !route.Open() {
+		return brrequest.Refuse(brrequest.ReasonUnknownKey, "", 0)
+	}
+	return brrequest.Admit(organisation, route, h.snapshot.Generation())
+}
+
+func (h *handler) withoutKey(route brconfig.Route) brrequest.Verdict {
+	if !route.Open() {
+		return brrequest.Refuse(brrequest.ReasonNoKey, "", 0)
+	}
+	return brrequest.Admit("", route, h.snapshot.Generation())
+}
--- /dev/null
+++ b/internal/duty/brbalancing/duty.go
@@ -0,0 +1,113 @@
+// Package brbalancing provides the duty that gives requests a backend server.
+//
+// It owns what this VM knows of the servers of its failure domain.
+//
+// # Usage
+//
+//	balancing := brbalancing.New("montevideo-a", clock)
+//	group.Start(balancing.Duty())
+//	server, err := balancing.Pick(ctx, brrequest.NewPlacement("lookup", "taller-norte"))
+//	balancing.Release(brrequest.NewOutcome(server.Name(), brrequest.OutcomeAnswered, latency))
+package brbalancing
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/core/brduty"
+	"bergamotroad.example/bergamotroad/internal/core/broption"
+	"bergamotroad.example/bergamotroad/internal/core/brring"
+	"bergamotroad.example/bergamotroad/internal/decide/brbalance"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+)
+
+const queueCapacity = 4096 // messages
+
+// ErrServerNotExist says that no backend server of a service can take a request.
+type ErrServerNotExist struct {
+	service string
+}
+
+// Error names the service.
+func (e ErrServerNotExist) Error() string {
+	return fmt.Sprintf("service %q has no server with a free slot", e.service)
+}
+
+// IsErrServerNotExist reports whether err is or wraps ErrServerNotExist.
+func IsErrServerNotExist(err error) bool {
+	_, ok := errors.Into[ErrServerNotExist](err)
+	return ok
+}
+
+type message struct {
+	placement brrequest.Placement
+	outcome   broption.Option[brrequest.Outcome]
+	reply     brring.Reply[broption.Option[brconfig.Server]]
+}
+
+// Balancing is the duty with the calls that reach it.
+type Balancing struct {
+	duty    *brduty.Duty[message, *brconfig.Snapshot]
+	servers *brring.ReplyPool[broption.Option[brconfig.Server]]
+}
+
+// New returns the duty for the servers of a failure domain.
+func New(domain string, clock brclock.Clock) *Balancing {
+	h := &handler{balancer: brbalance.NewBalancer(domain)}
+	return &Balancing{
+		duty:    brduty.New("balancing", h, clock, brduty.WithCapacity(queueCapacity)),
+		servers: brring.NewReplyPool[broption.Option[brconfig.Server]](),
+	}
+}
+
+// Duty returns the duty to be started.
+func (b *Balancing) Duty() brduty.Runner { return b.duty }
+
+// Snapshots returns the ring that takes the configuration.
+func (b *Balancing) Snapshots() *brring.Latest[*brconfig.Snapshot] { return b.duty.Snapshots() }
+
+// Pick takes a slot of a server. It returns ErrServerNotExist where none is free.
+func (b *Balancing) Pick(ctx context.Context, placement brrequest.Placement) (brconfig.Server, error) {
+	answer, err := brring.Ask(ctx, b.duty.Queue(), b.servers, func(reply brring.Reply[broption.Option[brconfig.Server]]) message {
+		return message{placement: placement, reply: reply}
+	})
+	if err != nil {
+		return brconfig.Server{}, errors.Errorf("pick server of %q: %w", placement.Service(), err)
+	}
+	server, ok := answer.Get()
+	if !ok {
+		return brconfig.Server{}, ErrServerNotExist{service: placement.Service()}
+	}
+	return server, nil
+}
+
+// Release gives back the slot of a request that has ended, with its outcome.
+func (b *Balancing) Release(outcome brrequest.Outcome) {
+	_ = b.duty.Queue().Send(message{outcome: broption.Some(outcome)})
+}
+
+type handler struct {
+	balancer *brbalance.Balancer
+}
+
+// Handle picks or releases.
+func (h *handler) Handle(_ context.Context, m message) {
+	if outcome, ok := m.outcome.Get(); ok {
+		h.balancer.Release(outcome)
+		return
+	}
+	m.reply.Answer(h.balancer.Pick(m.placement))
+}
+
+// Update takes a new configuration.
+func (h *handler) Update(_ context.Context, snapshot *brconfig.Snapshot) {
+	h.balancer.Update(snapshot)
+}
+
+// Tick does nothing yet.
+func (*handler) Tick(context.Context, time.Time) {}
--- /dev/null
+++ b/internal/duty/brtimeline/duty.go
@@ -0,0 +1,135 @@
+// Package brtimeline provides the duty that keeps a VM's time line.
+//
+// It stamps events, holds the newest of them in a bounded ring and gives them
+// out by position. A reader that lags further than the ring is long sees a gap
+// between the position that it asked for and the first one that it gets.
+//
+// # Usage
+//
+//	timeline := brtimeline.New("vm-1", "montevideo-a", clock)
+//	group.Start(timeline.Duty())
+//	timeline.Record(brevent.New(brevent.KindVMStarted))
+//	page, err := timeline.Read(ctx, 0, 100)
+package brtimeline
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/core/brduty"
+	"bergamotroad.example/bergamotroad/internal/core/brring"
+	"bergamotroad.example/bergamotroad/internal/model/brevent"
+)
+
+const (
+	queueCapacity   = 8192  // messages
+	historyCapacity = 16384 // events
+)
+
+// Page is a part of the time line.
+type Page struct {
+	events   []brevent.Event
+	position uint64
+}
+
+// NewPage returns a page of events and the position after the last of them.
+func NewPage(events []brevent.Event, position uint64) Page {
+	return Page{events: events, position: position}
+}
+
+// Events returns the events, oldest first. The caller must not change the slice.
+func (p Page) Events() []brevent.Event { return p.events }
+
+// Position returns the position to read on from.
+func (p Page) Position() uint64 { return p.position }
+
+type message struct {
+	event    brevent.Event
+	isRead   bool
+	after    uint64
+	limit    int
+	response brring.Reply[Page]
+}
+
+// Timeline is the duty with the calls that reach it.
+type Timeline struct {
+	duty  *brduty.Duty[message, struct{}]
+	pages *brring.ReplyPool[Page]
+}
+
+// New returns the time line of a VM of a failure domain.
+func New(vm, domain string, clock brclock.Clock) *Timeline {
+	h := &handler{vm: vm, domain: domain, hybrid: brclock.NewHybrid(clock)}
+	return &Timeline{
+		duty:  brduty.New[message, struct{}]("timeline", h, clock, brduty.WithCapacity(queueCapacity)),
+		pages: brring.NewReplyPool[Page](),
+	}
+}
+
+// Duty returns the duty to be started.
+func (t *Timeline) Duty() brduty.Runner { return t.duty }
+
+// Record puts an event on the time line without waiting.
+func (t *Timeline) Record(event brevent.Event) {
+	_ = t.duty.Queue().Send(message{event: event})
+}
+
+// Lost returns how many events found the duty's ring full.
+func (t *Timeline) Lost() uint64 { return t.duty.Queue().Dropped() }
+
+// Read returns up to limit events after a position.
+func (t *Timeline) Read(ctx context.Context, after uint64, limit int) (Page, error) {
+	page, err := brring.Ask(ctx, t.duty.Queue(), t.pages, func(reply brring.Reply[Page]) message {
+		return message{isRead: true, after: after, limit: limit, response: reply}
+	})
+	if err != nil {
+		return Page{}, errors.Errorf("read time line: %w", err)
+	}
+	return page, nil
+}
+
+type handler struct {
+	vm     string
+	domain string
+	hybrid *brclock.Hybrid
+	events []brevent.Event
+	next   uint64 // position after the newest event
+}
+
+// Handle takes an event or a read.
+func (h *handler) Handle(_ context.Context, m message) {
+	if m.isRead {
+		m.response.Answer(h.page(m.after, m.limit))
+		return
+	}
+	h.add(m.event.WithOrigin(h.hybrid.Next(), h.vm, h.domain))
+}
+
+// Update does nothing: the time line depends on no snapshot.
+func (*handler) Update(context.Context, struct{}) {}
+
+// Tick does nothing.
+func (*handler) Tick(context.Context, time.Time) {}
+
+func (h *handler) add(event brevent.Event) {
+	if len(h.events) < historyCapacity {
+		h.events = append(h.events, event)
+	} else {
+		h.events[h.next%historyCapacity] = event
+	}
+	h.next++
+}
+
+func (h *handler) page(after uint64, limit int) Page {
+	oldest := h.next - uint64(len(h.events))
+	from := min(max(after, oldest), h.next)
+	to := min(h.next, from+uint64(max(limit, 0)))
+	events := make([]brevent.Event, 0, to-from)
+	for position := from; position < to; position++ {
+		events = append(events, h.events[position%historyCapacity])
+	}
+	return NewPage(events, to)
+}
--- /dev/null
+++ b/internal/peer/brcaller/lookup.go
@@ -0,0 +1,37 @@
+package brcaller
+
+import (
+	"net/http"
+
+	"github.com/kataras/iris/v12"
+
+	"bergamotroad.example/bergamotroad/internal/model/brlocation"
+)
+
+type lookupReply struct {
+	Block             string     `json:"block,omitempty"`
+	TimeToLiveSeconds int        `json:"timeToLiveSeconds"`
+	VMs               []lookupVM `json:"vms"`
+}
+
+type lookupVM struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+}
+
+func (h *Handler) lookup(ctx iris.Context) {
+	answer, err := h.steering.Locate(ctx.Request().Context(), clientOf(ctx.Request()))
+	if err != nil || len(answer.VMs()) == 0 {
+		ctx.StatusCode(http.StatusServiceUnavailable)
+		return
+	}
+	_ = ctx.JSON(lookupReplyOf(answer))
+}
+
+func lookupReplyOf(answer brlocation.Answer) lookupReply {
+	reply := lookupReply{Block: answer.Block(), TimeToLiveSeconds: int(answer.TimeToLive().Seconds())}
+	for _, v := range answer.VMs() {
+		reply.VMs = append(reply.VMs, lookupVM{Name: v.Name(), Address: v.CallerAddress()})
+	}
+	return reply
+}
--- /dev/null
+++ b/internal/peer/broperator/events.go
@@ -0,0 +1,69 @@
+package broperator
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/kataras/iris/v12"
+
+	"bergamotroad.example/bergamotroad/internal/model/brevent"
+)
+
+const (
+	standardEvents = 100
+	maxEvents      = 10_000
+)
+
+type eventsReply struct {
+	Events   []eventReply `json:"events"`
+	Position uint64       `json:"position"`
+}
+
+type eventReply struct {
+	Kind         string            `json:"kind"`
+	Time         time.Time         `json:"time"`
+	Logical      uint32            `json:"logical"`
+	VM           string            `json:"vm"`
+	Domain       string            `json:"domain"`
+	Organisation string            `json:"organisation,omitempty"`
+	Request      string            `json:"request,omitempty"`
+	Move         string            `json:"move,omitempty"`
+	Resource     string            `json:"resource,omitempty"`
+	Details      map[string]string `json:"details,omitempty"`
+}
+
+func (h *Handler) events(ctx iris.Context) {
+	after := uint64(max(ctx.URLParamInt64Default("after", 0), 0))
+	limit := min(ctx.URLParamIntDefault("limit", standardEvents), maxEvents)
+	page, err := h.timeline.Read(ctx.Request().Context(), after, limit)
+	if err != nil {
+		fail(ctx, http.StatusServiceUnavailable, err)
+		return
+	}
+	reply := eventsReply{Events: []eventReply{}, Position: page.Position()}
+	for _, e := range page.Events() {
+		reply.Events = append(reply.Events, eventReplyOf(e))
+	}
+	_ = ctx.JSON(reply)
+}
+
+func eventReplyOf(e brevent.Event) eventReply {
+	reply := eventReply{
+		Kind:         string(e.Kind()),
+		Time:         e.Stamp().Wall(),
+		Logical:      e.Stamp().Logical(),
+		VM:           e.VM(),
+		Domain:       e.Domain(),
+		Organisation: e.Organisation(),
+		Request:      e.Request(),
+		Move:         e.Move(),
+		Resource:     e.Resource(),
+	}
+	for name, value := range e.Details().All() {
+		if reply.Details == nil {
+			reply.Details = map[string]string{}
+		}
+		reply.Details[name] = value
+	}
+	return reply
+}
--- /dev/null
+++ b/internal/standin/brplatform/object.go
@@ -0,0 +1,90 @@
+package brplatform
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+
+	"bergamotroad.example/bergamotroad/internal/peer/brobject"
+)
+
+// Objects is an object store in memory. It is a brobject.Store and, as an
+// http.Handler, speaks the protocol that brobject.Client uses.
+type Objects struct {
+	mutex   sync.Mutex
+	faults  *Faults
+	objects map[string][]byte
+}
+
+// NewObjects returns an empty store.
+func NewObjects(faults *Faults) *Objects {
+	return &Objects{faults: faults, objects: map[string][]byte{}}
+}
+
+// Put writes an object.
+func (o *Objects) Put(ctx context.Context, name string, data []byte) error {
+	if err := o.faults.before(ctx); err != nil {
+		return brobject.NewErrUnavailable(err)
+	}
+	o.mutex.Lock()
+	o.objects[name] = bytes.Clone(data)
+	o.mutex.Unlock()
+	if err := o.faults.after(ctx); err != nil {
+		return brobject.NewErrUnavailable(err)
+	}
+	return nil
+}
+
+// Get reads an object.
+func (o *Objects) Get(ctx context.Context, name string) ([]byte, error) {
+	if err := o.faults.before(ctx); err != nil {
+		return nil, brobject.NewErrUnavailable(err)
+	}
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	data, ok := o.objects[name]
+	if !ok {
+		return nil, brobject.NewErrObjectNotExist(name)
+	}
+	return data, nil
+}
+
+// ServeHTTP answers PUT and GET of objects.
+func (o *Objects) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	name := strings.TrimPrefix(r.URL.Path, "/")
+	switch r.Method {
+	case http.MethodPut:
+		o.servePut(w, r, name)
+	case http.MethodGet:
+		o.serveGet(w, r, name)
+	default:
+		http.Error(w, "method not allowed", http.StatusMethodNotAllowed)
+	}
+}
+
+func (o *Objects) servePut(w http.ResponseWriter, r *http.Request, name string) {
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := o.Put(r.Context(), name, data); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	}
+}
+
+func (o *Objects) serveGet(w http.ResponseWriter, r *http.Request, name string) {
+	data, err := o.Get(r.Context(), name)
+	if brobject.IsErrObjectNotExist(err) {
+		http.NotFound(w, r)
+		return
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write(data)
+}
--- /dev/null
+++ b/internal/standin/brplatform/vmlist.go
@@ -0,0 +1,69 @@
+package brplatform
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+
+	"bergamotroad.example/bergamotroad/internal/peer/brvmlist"
+)
+
+// VMs is a list of VMs in memory. It is a brvmlist.List and, as an
+// http.Handler, speaks the protocol that brvmlist.Client uses.
+type VMs struct {
+	mutex   sync.Mutex
+	faults  *Faults
+	entries []brvmlist.Entry
+}
+
+// NewVMs returns an empty list.
+func NewVMs(faults *Faults) *VMs {
+	return &VMs{faults: faults}
+}
+
+// Set replaces the list.
+func (v *VMs) Set(entries []brvmlist.Entry) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.entries = slices.Clone(entries)
+}
+
+// List returns the VMs.
+func (v *VMs) List(ctx context.Context) ([]brvmlist.Entry, error) {
+	if err := v.faults.before(ctx); err != nil {
+		return nil, err
+	}
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	return slices.Clone(v.entries), nil
+}
+
+type targetGroup struct {
+	Targets []string          `json:"targets"`
+	Labels  map[string]string `json:"labels"`
+}
+
+// ServeHTTP answers with the list.
+func (v *VMs) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	entries, err := v.List(r.Context())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	groups := []targetGroup{}
+	for _, e := range entries {
+		groups = append(groups, targetGroup{
+			Targets: []string{e.Address()},
+			Labels:  map[string]string{"name": e.Name(), "state": stateOf(e)},
+		})
+	}
+	writeJSON(w, groups)
+}
+
+func stateOf(entry brvmlist.Entry) string {
+	if entry.Leaving() {
+		return "leaving"
+	}
+	return "live"
+}
--- /dev/null
+++ b/internal/standin/brserver/server.go
@@ -0,0 +1,138 @@
+// Package brserver provides a stand-in of a backend server, for tests and the
+// demo: it runs a bounded number of requests at a time, answers slowly while
+// its cache is cold, counts runs by request and refuses what exceeds its slots.
+//
+// # Usage
+//
+//	server := brserver.New(3, 5*time.Millisecond)
+//	front := httptest.NewServer(server)
+//	runs := server.Runs()
+package brserver
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// coldRequests is the number of requests that a cold server answers slowly.
+const coldRequests = 20
+
+// coldFactor is how much slower a cold server answers.
+const coldFactor = 4
+
+// Server is a backend server in memory.
+type Server struct {
+	mutex   sync.Mutex
+	slots   int
+	service time.Duration
+	running int
+	runs    int
+	most    int
+	shed    int
+	byID    map[string]int
+	keys    int
+}
+
+// New returns a cold server that runs slots requests at a time, each for the service time.
+func New(slots int, service time.Duration) *Server {
+	return &Server{slots: slots, service: service, byID: map[string]int{}}
+}
+
+// Runs returns how many requests have run.
+func (s *Server) Runs() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.runs
+}
+
+// RunsOf returns how often the request of an X-Request-Id has run.
+func (s *Server) RunsOf(id string) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.byID[id]
+}
+
+// MostAtOnce returns the highest number of requests that ran at a time.
+func (s *Server) MostAtOnce() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.most
+}
+
+// Shed returns how many requests were refused because no slot was free.
+func (s *Server) Shed() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.shed
+}
+
+// KeysSeen returns how many requests carried a caller's key.
+func (s *Server) KeysSeen() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.keys
+}
+
+// ServeHTTP runs a request or sheds it.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/healthz" {
+		return
+	}
+	delay, ok := s.start(r)
+	if !ok {
+		w.Header().Set("Bergamotroad-Shed", "1")
+		http.Error(w, "no slot is free", http.StatusServiceUnavailable)
+		return
+	}
+	defer s.finish()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	sleep(r, delay)
+	_, _ = fmt.Fprintf(w, "%s %s %d bytes", r.Method, r.URL.RequestURI(), len(body))
+}
+
+func (s *Server) start(r *http.Request) (time.Duration, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if r.Header.Get("Authorization") != "" {
+		s.keys++
+	}
+	if s.running >= s.slots {
+		s.shed++
+		return 0, false
+	}
+	s.running++
+	s.runs++
+	s.most = max(s.most, s.running)
+	if id := r.Header.Get("X-Request-Id"); id != "" {
+		s.byID[id]++
+	}
+	if s.runs <= coldRequests {
+		return s.service * coldFactor, true
+	}
+	return s.service, true
+}
+
+func (s *Server) finish() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.running--
+}
+
+func sleep(r *http.Request, delay time.Duration) {
+	if delay <= 0 {
+		return
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.Context().Done():
+	}
+}
--- /dev/null
+++ b/tests/script_test.go
@@ -0,0 +1,158 @@
+// Package tests runs scenarios in which the program, the stand-ins and callers
+// are processes of their own.
+//
+// # Usage
+//
+//	go test ./tests -run TestScripts/path
+package tests
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"bergamotroad.example/bergamotroad/internal/command/brcommand"
+	"bergamotroad.example/bergamotroad/internal/standin/brplatform"
+	"bergamotroad.example/bergamotroad/internal/standin/brserver"
+)
+
+// waitLimit bounds how long a script waits for a program to answer.
+const waitLimit = 20 * time.Second
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"bergamotroad":     func() { os.Exit(brcommand.Main(os.Args[1:], os.Stdout, os.Stderr)) },
+		"standin-platform": func() { serveUntilSignal(os.Args[1], newPlatform()) },
+		"standin-server":   func() { serveUntilSignal(os.Args[1], brserver.New(3, time.Millisecond)) },
+		"call":             call,
+	})
+}
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata/script",
+		Setup: setPorts,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"waitfor": waitFor,
+			"expand":  expand,
+		},
+	})
+}
+
+// setPorts gives each script free ports as PORT0 to PORT15, and lets programs
+// with the race detector end without its pause.
+func setPorts(env *testscript.Env) error {
+	env.Setenv("GORACE", "atexit_sleep_ms=0")
+	for i := range 16 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		defer func() { _ = listener.Close() }()
+		_, port, _ := net.SplitHostPort(listener.Addr().String())
+		env.Setenv(fmt.Sprintf("PORT%d", i), port)
+	}
+	return nil
+}
+
+func newPlatform() http.Handler {
+	faults := brplatform.NewFaults()
+	mux := http.NewServeMux()
+	mux.Handle("/v3/kv/", brplatform.NewTable(faults))
+	mux.Handle("/objects/", http.StripPrefix("/objects", brplatform.NewObjects(faults)))
+	mux.Handle("/vms", brplatform.NewVMs(faults))
+	return mux
+}
+
+func serveUntilSignal(address string, handler http.Handler) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	server := &http.Server{Addr: address, Handler: handler}
+	go func() {
+		<-signals
+		_ = server.Close()
+	}()
+	_ = server.ListenAndServe()
+}
+
+// call sends one request and prints status, fields and body of the answer.
+func call() {
+	flags := flag.NewFlagSet("call", flag.ExitOnError)
+	key := flags.String("key", "", "key of the caller")
+	body := flags.String("body", "", "file with the body")
+	_ = flags.Parse(os.Args[1:])
+	request, err := http.NewRequest(flags.Arg(0), flags.Arg(1), bodyOf(*body))
+	if err != nil {
+		fail(err)
+	}
+	if *key != "" {
+		request.Header.Set("Authorization", "Bearer "+*key)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		fail(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	fmt.Println("status", response.StatusCode)
+	_ = response.Header.Write(os.Stdout)
+	_, _ = io.Copy(os.Stdout, response.Body)
+}
+
+func bodyOf(path string) io.Reader {
+	if path == "" {
+		return nil
+	}
+	file, err := os.Open(path)
+	if err != nil {
+		fail(err)
+	}
+	return file
+}
+
+func fail(err error) {
+	fmt.Fprintln(os.Stderr, err)
+	os.Exit(1)
+}
+
+// waitFor waits until a URL answers with a status: waitfor URL STATUS.
+func waitFor(script *testscript.TestScript, negated bool, arguments []string) {
+	if negated || len(arguments) != 2 {
+		script.Fatalf("usage: waitfor URL STATUS")
+	}
+	deadline := time.Now().Add(waitLimit)
+	last := "no answer"
+	for time.Now().Before(deadline) {
+		response, err := http.Get(arguments[0])
+		if err == nil {
+			_ = response.Body.Close()
+			last = fmt.Sprint(response.StatusCode)
+			if last == arguments[1] {
+				return
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	script.Fatalf("%s: last status %s, want %s", arguments[0], last, arguments[1])
+}
+
+// expand replaces $NAME in files by the script's variables: expand FILE...
+func expand(script *testscript.TestScript, negated bool, arguments []string) {
+	if negated {
+		script.Fatalf("usage: expand FILE...")
+	}
+	for _, name := range arguments {
+		path := script.MkAbs(name)
+		text := os.Expand(script.ReadFile(name), script.Getenv)
+		script.Check(os.WriteFile(path, []byte(strings.TrimSpace(text)+"\n"), 0o600))
+	}
+}
