Decide who goes next: fair queue, and pace links at the sender

Cause: one organisation at several times its rate must delay nobody else, and no link may carry more than it can. Change: bounded fair queue between organisations by weight, with order of arrival as baseline policy; pacer of a link over it, a chunk of each stream in turn; a duty for pacing; duties can ask for a tick before their period.

--- a/internal/core/brduty/duty.go
+++ b/internal/core/brduty/duty.go
@@ -46,6 +46,13 @@
 	Tick(ctx context.Context, now time.Time)
 }
 
+// Scheduler is a handler that asks for a tick before the period is over.
+type Scheduler interface {
+	// Due returns the time from now until the handler wants its next tick, if
+	// it wants one at all before the period is over.
+	Due(now time.Time) (time.Duration, bool)
+}
+
 // Duty is one goroutine with the rings that feed it.
 type Duty[M, S any] struct {
 	name      string
@@ -125,6 +132,18 @@
 			timer.Reset(d.period)
 		}
 		d.handled.Add(1)
+		d.schedule(timer)
+	}
+}
+
+// schedule arms the timer for the tick that the handler asks for.
+func (d *Duty[M, S]) schedule(timer brclock.Timer) {
+	scheduler, ok := d.handler.(Scheduler)
+	if !ok {
+		return
+	}
+	if due, wanted := scheduler.Due(d.clock.Now()); wanted && due < d.period {
+		timer.Reset(max(due, 0))
 	}
 }
 
--- a/internal/core/brduty/duty_test.go
+++ b/internal/core/brduty/duty_test.go
@@ -36,6 +36,16 @@
 
 func (r *recorder) Tick(context.Context, time.Time) { r.ticks++ }
 
+// sleeper asks for its first tick early.
+type sleeper struct {
+	recorder
+	due time.Time
+}
+
+func (s *sleeper) Due(now time.Time) (time.Duration, bool) {
+	return s.due.Sub(now), s.ticks == 0
+}
+
 type observer struct {
 	stalled  atomic.Int32
 	panicked atomic.Int32
@@ -99,3 +109,20 @@
 		group.Stop()
 	})
 }
+
+func TestSchedulerGetsItsTickBeforeThePeriodIsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &sleeper{due: time.Now().Add(30 * time.Millisecond)}
+		duty := brduty.New("test", s, brclock.NewSystem(), brduty.WithPeriod(time.Minute))
+		group := brduty.NewGroup(t.Context(), brclock.NewSystem(), &observer{})
+		group.Start(duty)
+		require.NoError(t, duty.Queue().Send(1))
+		time.Sleep(50 * time.Millisecond)
+		synctest.Wait()
+		require.Equal(t, 1, s.ticks)
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		require.Equal(t, 2, s.ticks, "the period goes on")
+		group.Stop()
+	})
+}
--- /dev/null
+++ b/internal/decide/brfair/queue_test.go
@@ -0,0 +1,159 @@
+package brfair_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"bergamotroad.example/bergamotroad/internal/decide/brfair"
+	_ "bergamotroad.example/bergamotroad/internal/standin/brseed"
+)
+
+var start = time.Date(2026, time.December, 4, 0, 0, 0, 0, time.UTC)
+
+type waiting struct {
+	organisation string
+	number       int
+	giveUp       time.Time
+}
+
+// Whatever is pushed leaves the queue exactly once, by Pop, by Expire or
+// displaced; items of one organisation leave in order; the queue stays bounded;
+// and nobody is displaced by an organisation that waits with more for its weight.
+func TestQueueKeepsWhatItTakes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		capacity := rapid.IntRange(1, 12).Draw(t, "capacity")
+		queue := brfair.New[waiting, brfair.Weighted](capacity)
+		weights := map[string]int{"a": 1, "b": 2, "c": 5}
+		held := map[string][]waiting{}
+		now, number := start, 0
+		remove := func(w waiting) {
+			before := len(held[w.organisation])
+			held[w.organisation] = slices.DeleteFunc(held[w.organisation], func(o waiting) bool { return o == w })
+			require.Equal(t, before-1, len(held[w.organisation]), "%v left twice", w)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				number++
+				name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "organisation")
+				w := waiting{name, number, now.Add(time.Duration(rapid.IntRange(1, 9).Draw(t, "patience")) * time.Second)}
+				displaced, err := queue.Push(brfair.NewItem(name, weights[name], w.giveUp, w))
+				if brfair.IsErrFull(err) {
+					require.Equal(t, capacity, queue.Len())
+					return
+				}
+				require.NoError(t, err)
+				held[name] = append(held[name], w)
+				if item, ok := displaced.Get(); ok {
+					other := item.Organisation()
+					require.NotEqual(t, name, other)
+					require.Greater(t, len(held[other])*weights[name], len(held[name])*weights[other])
+					remove(item.Value())
+				}
+			},
+			"pop": func(t *rapid.T) {
+				item, ok := queue.Pop().Get()
+				require.Equal(t, len(held["a"])+len(held["b"])+len(held["c"]) > 0, ok)
+				if ok {
+					require.Equal(t, held[item.Organisation()][0], item.Value(), "out of order")
+					remove(item.Value())
+				}
+			},
+			"expire": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 3).Draw(t, "seconds")) * time.Second)
+				for _, item := range queue.Expire(now) {
+					require.False(t, now.Before(item.GiveUp()))
+					remove(item.Value())
+				}
+				for _, items := range held {
+					for _, w := range items {
+						require.True(t, now.Before(w.giveUp), "%v waits too long", w)
+					}
+				}
+			},
+			"": func(t *rapid.T) {
+				require.LessOrEqual(t, queue.Len(), capacity)
+				require.Equal(t, len(held["a"])+len(held["b"])+len(held["c"]), queue.Len())
+			},
+		})
+	})
+}
+
+// Among organisations that always have items waiting, service follows the
+// weights up to one round, in every window.
+func TestBackloggedOrganisationsAreServedByWeight(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.IntRange(1, 7), 2, 6).Draw(t, "weights")
+		queue := brfair.New[int, brfair.Weighted](10_000)
+		served := make([]int, len(weights))
+		waiting := make([]int, len(weights))
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			for o, weight := range weights {
+				for waiting[o] < 8 {
+					_, err := queue.Push(brfair.NewItem(fmt.Sprint(o), weight, time.Time{}, o))
+					require.NoError(t, err)
+					waiting[o]++
+				}
+			}
+			item, ok := queue.Pop().Get()
+			require.True(t, ok)
+			served[item.Value()]++
+			waiting[item.Value()]--
+			for o := range weights {
+				for p := range weights {
+					// Rounds that two organisations have had differ by one at most.
+					require.LessOrEqual(t, served[o]/weights[o], (served[p]+weights[p]-1)/weights[p]+1)
+				}
+			}
+		}
+	})
+}
+
+// One organisation at many times its rate leaves the others' waiting time as
+// it was; in order of arrival it does not.
+func TestNoisyOrganisationDelaysNobodyElse(t *testing.T) {
+	require.Equal(t, 1, turnsUntilServed[brfair.Weighted](t))
+	require.Equal(t, 100, turnsUntilServed[brfair.Arrival](t))
+}
+
+func turnsUntilServed[P brfair.Policy](t *testing.T) int {
+	t.Helper()
+	queue := brfair.New[int, P](1000)
+	for range 100 {
+		_, err := queue.Push(brfair.NewItem("noisy", 1, time.Time{}, 0))
+		require.NoError(t, err)
+	}
+	_, err := queue.Push(brfair.NewItem("quiet", 1, time.Time{}, 0))
+	require.NoError(t, err)
+	for turns := 0; ; turns++ {
+		item, ok := queue.Pop().Get()
+		require.True(t, ok)
+		if item.Organisation() == "quiet" {
+			return turns
+		}
+	}
+}
+
+func BenchmarkPushPop(b *testing.B) {
+	for _, organisations := range []int{1, 8, 64} {
+		b.Run(fmt.Sprintf("organisations=%d", organisations), func(b *testing.B) {
+			queue := brfair.New[int, brfair.Weighted](1024)
+			items := make([]brfair.Item[int], organisations)
+			for o := range items {
+				items[o] = brfair.NewItem(fmt.Sprint(o), 1, time.Time{}, o)
+				for range 512 / organisations {
+					_, _ = queue.Push(items[o])
+				}
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				_, _ = queue.Push(items[i%organisations])
+				queue.Pop()
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/decide/brlink/pacer.go
@@ -0,0 +1,113 @@
+// Package brlink decides when bytes may be sent over a link between regions.
+//
+// A Pacer holds the sending VM's share of a link's bytes a second. Streams ask
+// for one chunk at a time and are served in turn, so that a large extract
+// leaves room for small look-ups: each waits for one chunk of every other
+// stream at most.
+//
+// # Usage
+//
+//	pacer := brlink.NewPacer[Reply](bytesPerSecond, now)
+//	err := pacer.Ask("request-7", brlink.MaxChunk, reply)
+//	for _, reply := range pacer.Grant(now) {
+//		reply.Answer(struct{}{})
+//	}
+//	wait, waiting := pacer.Due(now)
+package brlink
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/core/broption"
+	"bergamotroad.example/bergamotroad/internal/decide/brfair"
+	"bergamotroad.example/bergamotroad/internal/decide/brshare"
+)
+
+const (
+	// MaxChunk bounds the bytes that are asked for at a time.
+	MaxChunk = 32 << 10
+	// burstTime is how long a link may send ahead after it was idle.
+	burstTime = 20 * time.Millisecond
+	// maxWaiting bounds the chunks that wait for one link.
+	maxWaiting = 4096
+)
+
+// chunk is a part of a stream that waits to be sent.
+type chunk[T any] struct {
+	bytes int64
+	value T
+}
+
+// Pacer paces what one VM sends over one link. It has one owner.
+type Pacer[T any] struct {
+	bucket *brshare.Bucket
+	queue  *brfair.Queue[chunk[T], brfair.Weighted]
+	next   broption.Option[chunk[T]]
+}
+
+// NewPacer returns a pacer for a VM that may send so many bytes a second.
+func NewPacer[T any](bytesPerSecond int64, now time.Time) *Pacer[T] {
+	return &Pacer[T]{
+		bucket: brshare.NewBucket(shareOf(bytesPerSecond), now),
+		queue:  brfair.New[chunk[T], brfair.Weighted](maxWaiting),
+	}
+}
+
+// Change sets what the VM may send. Bytes saved up are kept up to the new burst.
+func (p *Pacer[T]) Change(bytesPerSecond int64, now time.Time) {
+	p.bucket.Change(shareOf(bytesPerSecond), now)
+}
+
+// Ask lets a chunk of a stream wait for its turn. More bytes than MaxChunk
+// count as MaxChunk. It returns brfair.ErrFull where too many chunks wait.
+func (p *Pacer[T]) Ask(stream string, bytes int64, value T) error {
+	c := chunk[T]{bytes: min(bytes, MaxChunk), value: value}
+	if _, err := p.queue.Push(brfair.NewItem(stream, 1, time.Time{}, c)); err != nil {
+		return errors.Errorf("wait for link: %w", err)
+	}
+	return nil
+}
+
+// Grant returns the values of the chunks that may be sent now, in order.
+func (p *Pacer[T]) Grant(now time.Time) []T {
+	var granted []T
+	for p.advance() {
+		c, _ := p.next.Get()
+		if !p.bucket.Take(c.bytes, now) {
+			break
+		}
+		granted = append(granted, c.value)
+		p.next = broption.None[chunk[T]]()
+	}
+	return granted
+}
+
+// Due returns the time until the next chunk may be sent, if one waits.
+func (p *Pacer[T]) Due(now time.Time) (time.Duration, bool) {
+	if !p.advance() {
+		return 0, false
+	}
+	c, _ := p.next.Get()
+	return p.bucket.Wait(c.bytes, now)
+}
+
+// advance reports whether a chunk is next.
+func (p *Pacer[T]) advance() bool {
+	if p.next.IsPresent() {
+		return true
+	}
+	item, ok := p.queue.Pop().Get()
+	if ok {
+		p.next = broption.Some(item.Value())
+	}
+	return ok
+}
+
+// shareOf returns a share whose burst holds one chunk at least, so that every
+// chunk is sent some time.
+func shareOf(bytesPerSecond int64) brshare.Share {
+	burst := bytesPerSecond * int64(burstTime) / int64(time.Second)
+	return brshare.NewShare(bytesPerSecond, time.Second, max(burst, MaxChunk))
+}
--- /dev/null
+++ b/internal/decide/brlink/pacer_test.go
@@ -0,0 +1,86 @@
+package brlink_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"bergamotroad.example/bergamotroad/internal/decide/brlink"
+	_ "bergamotroad.example/bergamotroad/internal/standin/brseed"
+)
+
+var start = time.Date(2026, time.December, 4, 0, 0, 0, 0, time.UTC)
+
+type sending struct {
+	at    time.Duration
+	bytes int64
+}
+
+// In every window no more bytes are sent than rate times window plus burst,
+// and whatever asked is sent once the link has had the time.
+func TestNoWindowCarriesMoreThanTheLink(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Int64Range(10_000, 5_000_000).Draw(t, "bytes a second")
+		burst := max(rate/50, brlink.MaxChunk)
+		pacer := brlink.NewPacer[int64](rate, start)
+		sent := []sending{}
+		now, asked := start, int64(0)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			bytes := rapid.Int64Range(1, brlink.MaxChunk).Draw(t, "bytes")
+			stream := rapid.SampledFrom([]string{"extract", "look-up", "ledger"}).Draw(t, "stream")
+			require.NoError(t, pacer.Ask(stream, bytes, bytes))
+			asked += bytes
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "milliseconds")) * time.Millisecond)
+			for _, granted := range pacer.Grant(now) {
+				sent = append(sent, sending{now.Sub(start), granted})
+			}
+		}
+		for {
+			wait, waiting := pacer.Due(now)
+			if !waiting {
+				break
+			}
+			now = now.Add(wait)
+			granted := pacer.Grant(now)
+			require.NotEmpty(t, granted, "due, but nothing is granted")
+			for _, bytes := range granted {
+				sent = append(sent, sending{now.Sub(start), bytes})
+			}
+		}
+		total := int64(0)
+		for _, s := range sent {
+			total += s.bytes
+		}
+		require.Equal(t, asked, total)
+		for i := range sent {
+			window := int64(0)
+			for _, s := range sent[i:] {
+				window += s.bytes
+				allowed := float64(rate)*(s.at-sent[i].at).Seconds() + float64(burst)
+				require.LessOrEqual(t, float64(window), allowed+1)
+			}
+		}
+	})
+}
+
+// A small look-up waits for one chunk of an extract, not for all of it.
+func TestExtractLeavesRoomForSmallLookups(t *testing.T) {
+	pacer := brlink.NewPacer[string](280_000_000/8/9, start)
+	for range 1000 {
+		require.NoError(t, pacer.Ask("extract", brlink.MaxChunk, "extract"))
+	}
+	now := start.Add(time.Second)
+	pacer.Grant(now)
+	require.NoError(t, pacer.Ask("look-up", 1000, "look-up"))
+	for chunks := 0; ; chunks++ {
+		wait, waiting := pacer.Due(now)
+		require.True(t, waiting)
+		now = now.Add(wait)
+		if granted := pacer.Grant(now); granted[0] == "look-up" {
+			return
+		}
+		require.LessOrEqual(t, chunks, 1)
+	}
+}
--- /dev/null
+++ b/internal/duty/brpacing/duty.go
@@ -0,0 +1,158 @@
+// Package brpacing provides the duty that paces what this VM sends to other
+// regions, on the sender's side of each link.
+//
+// A link's bytes a second are divided evenly among the entry VMs of the
+// sending region, rounded down, so that their sum is no more than the link.
+//
+// # Usage
+//
+//	pacing := brpacing.New("montevideo-a", clock)
+//	group.Start(pacing.Duty())
+//	err := pacing.Wait(ctx, "este", request.ID(), int64(len(chunk)))
+package brpacing
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/core/brduty"
+	"bergamotroad.example/bergamotroad/internal/core/brring"
+	"bergamotroad.example/bergamotroad/internal/decide/brfair"
+	"bergamotroad.example/bergamotroad/internal/decide/brlink"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+)
+
+const queueCapacity = 4096 // chunks
+
+// answer says whether a chunk may be sent.
+type answer struct {
+	refused error
+}
+
+type message struct {
+	region string
+	stream string
+	bytes  int64
+	reply  brring.Reply[answer]
+}
+
+// Pacing is the duty with the calls that reach it.
+type Pacing struct {
+	duty    *brduty.Duty[message, *brconfig.Snapshot]
+	answers *brring.ReplyPool[answer]
+}
+
+// New returns the duty for a VM of a failure domain.
+func New(domain string, clock brclock.Clock) *Pacing {
+	h := &handler{domain: domain, clock: clock, pacers: map[string]*brlink.Pacer[brring.Reply[answer]]{}}
+	return &Pacing{
+		duty:    brduty.New("pacing", h, clock, brduty.WithCapacity(queueCapacity)),
+		answers: brring.NewReplyPool[answer](),
+	}
+}
+
+// Duty returns the duty to be started.
+func (p *Pacing) Duty() brduty.Runner { return p.duty }
+
+// Snapshots returns the ring that takes the configuration.
+func (p *Pacing) Snapshots() *brring.Latest[*brconfig.Snapshot] { return p.duty.Snapshots() }
+
+// Wait returns when up to brlink.MaxChunk bytes of a stream may be sent to a
+// region. A region to which no link is configured is not paced. It returns
+// brring.ErrFull or brfair.ErrFull where too many chunks wait.
+func (p *Pacing) Wait(ctx context.Context, region, stream string, bytes int64) error {
+	got, err := brring.Ask(ctx, p.duty.Queue(), p.answers, func(reply brring.Reply[answer]) message {
+		return message{region: region, stream: stream, bytes: bytes, reply: reply}
+	})
+	if err != nil {
+		return errors.Errorf("wait for link to %s: %w", region, err)
+	}
+	return got.refused
+}
+
+// IsErrFull reports whether err says that too many chunks wait.
+func IsErrFull(err error) bool {
+	return brring.IsErrFull(err) || brfair.IsErrFull(err)
+}
+
+type handler struct {
+	domain string
+	clock  brclock.Clock
+	pacers map[string]*brlink.Pacer[brring.Reply[answer]] // by receiving region
+}
+
+// Handle takes one chunk.
+func (h *handler) Handle(_ context.Context, m message) {
+	pacer, ok := h.pacers[m.region]
+	if !ok {
+		m.reply.Answer(answer{})
+		return
+	}
+	if err := pacer.Ask(m.stream, m.bytes, m.reply); err != nil {
+		m.reply.Answer(answer{refused: err})
+		return
+	}
+	grant(pacer, h.clock.Now())
+}
+
+// Update takes a new configuration.
+func (h *handler) Update(_ context.Context, snapshot *brconfig.Snapshot) {
+	region := regionOf(snapshot, h.domain)
+	vms := max(vmsIn(snapshot, region), 1)
+	now := h.clock.Now()
+	for link := range snapshot.Links().All() {
+		if link.From() != region {
+			continue
+		}
+		share := link.BytesPerSecond() / int64(vms)
+		if pacer, ok := h.pacers[link.To()]; ok {
+			pacer.Change(share, now)
+			continue
+		}
+		h.pacers[link.To()] = brlink.NewPacer[brring.Reply[answer]](share, now)
+	}
+}
+
+// Tick sends what has become due.
+func (h *handler) Tick(_ context.Context, now time.Time) {
+	for _, pacer := range h.pacers {
+		grant(pacer, now)
+	}
+}
+
+// Due returns the time until the next chunk of any link may be sent.
+func (h *handler) Due(now time.Time) (time.Duration, bool) {
+	least, wanted := time.Duration(0), false
+	for _, pacer := range h.pacers {
+		due, waiting := pacer.Due(now)
+		if waiting && (!wanted || due < least) {
+			least, wanted = due, true
+		}
+	}
+	return least, wanted
+}
+
+func grant(pacer *brlink.Pacer[brring.Reply[answer]], now time.Time) {
+	for _, reply := range pacer.Grant(now) {
+		reply.Answer(answer{})
+	}
+}
+
+func regionOf(snapshot *brconfig.Snapshot, domain string) string {
+	d, _ := snapshot.Domains().Get(domain).Get()
+	return d.Region()
+}
+
+func vmsIn(snapshot *brconfig.Snapshot, region string) int {
+	count := 0
+	for vm := range snapshot.VMs().All() {
+		site, _ := snapshot.Sites().Get(vm.Site()).Get()
+		if regionOf(snapshot, site.Domain()) == region {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/duty/brpacing/duty_test.go
@@ -0,0 +1,68 @@
+package brpacing_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/core/brduty"
+	"bergamotroad.example/bergamotroad/internal/decide/brlink"
+	"bergamotroad.example/bergamotroad/internal/duty/brpacing"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+)
+
+type silent struct{}
+
+func (silent) DutyStalled(string, int) {}
+
+func (silent) DutyPanicked(string, any, []byte) {}
+
+// linkOf returns a configuration with two VMs in the sending region.
+func linkOf(t *testing.T, bytesPerSecond int64) *brconfig.Snapshot {
+	t.Helper()
+	meta := brconfig.NewMeta
+	resources := []brconfig.Resource{
+		brconfig.NewRegion(meta("montevideo")),
+		brconfig.NewRegion(meta("este")),
+		brconfig.NewDomain(meta("montevideo-a"), "montevideo"),
+		brconfig.NewDomain(meta("montevideo-b"), "montevideo"),
+		brconfig.NewSite(meta("site-a"), "montevideo-a"),
+		brconfig.NewSite(meta("site-b"), "montevideo-b"),
+		brconfig.NewVM(meta("vm-1"), "site-a", "127.0.0.1:1", "127.0.0.1:2"),
+		brconfig.NewVM(meta("vm-2"), "site-b", "127.0.0.1:3", "127.0.0.1:4"),
+		brconfig.NewLink(meta("to-este"), "montevideo", "este", bytesPerSecond, 12*time.Millisecond),
+	}
+	changes := []brconfig.Change{}
+	for _, r := range resources {
+		changes = append(changes, brconfig.Put(r))
+	}
+	snapshot, err := brconfig.NewSnapshot().Apply(1, changes)
+	require.NoError(t, err)
+	return snapshot
+}
+
+// A VM sends at its half of the link, and to a region without link unpaced.
+func TestVMSendsAtItsShareOfTheLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := brclock.NewSystem()
+		pacing := brpacing.New("montevideo-a", clock)
+		group := brduty.NewGroup(t.Context(), clock, silent{})
+		group.Start(pacing.Duty())
+		defer group.Stop()
+		const bytesPerSecond = 20 * brlink.MaxChunk
+		require.NoError(t, pacing.Snapshots().Send(linkOf(t, bytesPerSecond)))
+		synctest.Wait()
+		started := time.Now()
+		for range 50 {
+			require.NoError(t, pacing.Wait(t.Context(), "este", "extract", brlink.MaxChunk))
+		}
+		require.InDelta(t, 5, time.Since(started).Seconds(), 0.001)
+		for range 50 {
+			require.NoError(t, pacing.Wait(t.Context(), "litoral", "extract", brlink.MaxChunk))
+		}
+		require.InDelta(t, 5, time.Since(started).Seconds(), 0.001)
+	})
+}
