Decide how long keys are honoured, and slow down guessing

Cause: a withdrawn key must stop working within seconds, also for callers already connected and in the middle of a long answer, and a VM that is cut off must not honour for ever what it can't confirm. Change: knowledge of keys has an age that counts from before the question; a limiter of unknown keys by source with bounded memory; a duty that cancels running requests 2 s after their key stopped being honoured. Conclusion: decisions and duty stand with their tests; they are not in force on the path yet.

--- /dev/null
+++ b/internal/decide/brguess/limiter_test.go
@@ -0,0 +1,67 @@
+package brguess_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"bergamotroad.example/bergamotroad/internal/decide/brguess"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+	_ "bergamotroad.example/bergamotroad/internal/standin/brseed"
+)
+
+var start = time.Date(2026, time.December, 4, 0, 0, 0, 0, time.UTC)
+
+// However guesses are timed, a source has no more looked at than the burst and
+// ten a minute after it.
+func TestGuessesAreBoundedInEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limiter := brguess.NewLimiter()
+		client := netip.MustParseAddr("192.0.2.7")
+		now, seen := start, 0
+		for range rapid.IntRange(1, 400).Draw(t, "guesses") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "milliseconds")) * time.Millisecond)
+			if _, blocked := limiter.Blocked(client, brrequest.HashKey("guess"), now); blocked {
+				continue
+			}
+			seen++
+			limiter.Failed(client, now)
+			require.LessOrEqual(t, float64(seen), 20+10*now.Sub(start).Minutes())
+		}
+	})
+}
+
+func TestGoodKeyFromAGuessersAddressGoesOn(t *testing.T) {
+	limiter := brguess.NewLimiter()
+	client := netip.MustParseAddr("2001:db8::1")
+	good := brrequest.HashKey("good")
+	limiter.Succeeded(client, good)
+	for range 50 {
+		limiter.Failed(netip.MustParseAddr("2001:db8::ffff"), start)
+	}
+	_, blocked := limiter.Blocked(client, good, start)
+	require.False(t, blocked)
+	wait, blocked := limiter.Blocked(client, brrequest.HashKey("other"), start)
+	require.True(t, blocked, "addresses of one /64 count as one source")
+	require.Equal(t, 6*time.Second, wait)
+	_, blocked = limiter.Blocked(client, brrequest.HashKey("other"), start.Add(wait))
+	require.False(t, blocked)
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	limiter := brguess.NewLimiter()
+	address := netip.MustParseAddr("10.0.0.0")
+	first := address
+	for range 20 {
+		limiter.Failed(first, start)
+	}
+	for range 20_000 {
+		address = address.Next()
+		limiter.Failed(address, start)
+	}
+	_, blocked := limiter.Blocked(first, brrequest.HashKey("guess"), start)
+	require.False(t, blocked, "the source seen longest ago is forgotten")
+}
--- /dev/null
+++ b/internal/decide/brkey/knowledge_test.go
@@ -0,0 +1,46 @@
+package brkey_test
+
+import (
+	"encoding/hex"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bergamotroad.example/bergamotroad/internal/decide/brkey"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+)
+
+var start = time.Date(2026, time.December, 4, 0, 0, 0, 0, time.UTC)
+
+func TestKnowledgeIsHonouredUpToTheOrganisationsBound(t *testing.T) {
+	strict := brconfig.NewOrganisation(brconfig.NewMeta("strict"))
+	patient := strict.WithKeyAge(time.Hour)
+	knowledge := brkey.Knowledge{}
+	require.False(t, knowledge.Honours(patient, start), "nothing is confirmed yet")
+	knowledge.Confirm(start)
+	knowledge.Confirm(start.Add(-time.Minute))
+	require.True(t, knowledge.Honours(strict, start.Add(5*time.Second)))
+	require.False(t, knowledge.Honours(strict, start.Add(5*time.Second+1)))
+	require.True(t, knowledge.Honours(patient, start.Add(time.Hour)))
+}
+
+func TestKeychainKnowsGrantedKeysOnly(t *testing.T) {
+	granted := brrequest.HashKey("granted")
+	hash := hex.EncodeToString(granted[:])
+	snapshot, err := brconfig.NewSnapshot().Apply(1, []brconfig.Change{
+		brconfig.Put(brconfig.NewOrganisation(brconfig.NewMeta("taller-norte"))),
+		brconfig.Put(brconfig.NewKey(brconfig.NewMeta("one"), "taller-norte", hash)),
+		brconfig.Put(brconfig.NewKey(brconfig.NewMeta("broken"), "taller-norte", "no hash")),
+	})
+	require.NoError(t, err)
+	chain := brkey.NewKeychain(snapshot)
+	organisation, ok := chain.Organisation(granted).Get()
+	require.True(t, ok)
+	require.Equal(t, "taller-norte", organisation)
+	_, ok = chain.Organisation(brrequest.HashKey("other")).Get()
+	require.False(t, ok)
+	_, ok = chain.Organisation(brrequest.KeyHash{}).Get()
+	require.False(t, ok, "no key is nobody's key")
+}
--- /dev/null
+++ b/internal/duty/brrevoking/duty_test.go
@@ -0,0 +1,91 @@
+package brrevoking_test
+
+import (
+	"context"
+	"encoding/hex"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/core/brduty"
+	"bergamotroad.example/bergamotroad/internal/duty/brrevoking"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+)
+
+type silent struct{}
+
+func (silent) DutyStalled(string, int) {}
+
+func (silent) DutyPanicked(string, any, []byte) {}
+
+var key = brrequest.HashKey("taller-norte-key")
+
+func granted(t *testing.T) *brconfig.Snapshot {
+	t.Helper()
+	organisation := brconfig.NewOrganisation(brconfig.NewMeta("taller-norte"))
+	snapshot, err := brconfig.NewSnapshot().Apply(1, []brconfig.Change{
+		brconfig.Put(organisation),
+		brconfig.Put(brconfig.NewKey(brconfig.NewMeta("one"), organisation.Name(), hex.EncodeToString(key[:]))),
+	})
+	require.NoError(t, err)
+	return snapshot
+}
+
+func run(t *testing.T, scenario func(t *testing.T, revoking *brrevoking.Revoking)) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := brclock.NewSystem()
+		revoking := brrevoking.New(clock)
+		group := brduty.NewGroup(t.Context(), clock, silent{})
+		group.Start(revoking.Duty())
+		defer group.Stop()
+		require.NoError(t, revoking.Snapshots().Send(granted(t)))
+		revoking.Confirm(time.Now())
+		scenario(t, revoking)
+	})
+}
+
+func TestRequestEndsSoonAfterItsKeyIsWithdrawn(t *testing.T) {
+	run(t, func(t *testing.T, revoking *brrevoking.Revoking) {
+		ctx, end, err := revoking.Guard(t.Context(), key)
+		require.NoError(t, err)
+		defer end()
+		time.Sleep(time.Second)
+		require.NoError(t, ctx.Err())
+		withdrawn, err := granted(t).Apply(2, []brconfig.Change{brconfig.Delete(brconfig.NewReference(brconfig.KindKey, "one"))})
+		require.NoError(t, err)
+		require.NoError(t, revoking.Snapshots().Send(withdrawn))
+		time.Sleep(brrevoking.Grace / 2)
+		require.NoError(t, ctx.Err(), "a short request ends with its answer")
+		time.Sleep(brrevoking.Grace)
+		require.True(t, brrevoking.IsErrWithdrawn(context.Cause(ctx)))
+	})
+}
+
+func TestRequestEndsWhenItsKeyCanNotBeConfirmed(t *testing.T) {
+	run(t, func(t *testing.T, revoking *brrevoking.Revoking) {
+		ctx, end, err := revoking.Guard(t.Context(), key)
+		require.NoError(t, err)
+		defer end()
+		for range 30 {
+			time.Sleep(time.Second)
+			revoking.Confirm(time.Now())
+		}
+		require.NoError(t, ctx.Err())
+		time.Sleep(8 * time.Second)
+		require.True(t, brrevoking.IsErrWithdrawn(context.Cause(ctx)))
+	})
+}
+
+func TestRequestWithoutKeyNeedsNoGuard(t *testing.T) {
+	run(t, func(t *testing.T, revoking *brrevoking.Revoking) {
+		ctx, end, err := revoking.Guard(t.Context(), brrequest.KeyHash{})
+		require.NoError(t, err)
+		defer end()
+		time.Sleep(time.Hour)
+		require.NoError(t, ctx.Err())
+	})
+}
