--- /dev/null
+++ b/internal/decide/brcapacity/capacity_test.go
@@ -0,0 +1,46 @@
+package brcapacity_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"bergamotroad.example/bergamotroad/internal/decide/brcapacity"
+	_ "bergamotroad.example/bergamotroad/internal/standin/brseed"
+)
+
+func TestFitFindsTheLine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		intercept := rapid.Float64Range(0, 1e6).Draw(t, "intercept")
+		slope := rapid.Float64Range(0, 1e3).Draw(t, "slope")
+		series := brcapacity.NewSeries("blocks", "ns")
+		for _, size := range []float64{1000, 10_000, 110_000} {
+			series = series.With(size, intercept+slope*size)
+		}
+		fit, err := series.Fit()
+		require.NoError(t, err)
+		scale := 1 + intercept + slope*110_000
+		require.InDelta(t, 0, fit.Residual()/scale, 1e-9)
+		require.InDelta(t, 1, (1+fit.At("cost", 220_000).Value())/(1+intercept+slope*220_000), 1e-6)
+	})
+}
+
+func TestFitNeedsThreeSizes(t *testing.T) {
+	series := brcapacity.NewSeries("VMs", "B").With(10, 1).With(20, 2).With(20, 3)
+	_, err := series.Fit()
+	require.Error(t, err)
+}
+
+func TestLineWritesItsArithmetic(t *testing.T) {
+	fit, err := brcapacity.NewSeries("blocks", "ns").With(1000, 350).With(2000, 350).With(4000, 350).Fit()
+	require.NoError(t, err)
+	line := brcapacity.NewLine("look-ups", "processor time", "ms/s").
+		AddScaled(1e-6, brcapacity.Given("look-ups of a VM", 1875, "1/s"), fit.At("one look-up", 110_000)).
+		Add(brcapacity.Estimated("upkeep", 0.1, "ms/s"))
+	require.InDelta(t, 0.75625, line.Value(), 1e-9)
+	require.Equal(t, "1,875 1/s look-ups of a VM × 350 ns one look-up (350 + 0 × 110,000 blocks) + 0.1 ms/s upkeep [estimated] = 0.756 ms/s", line.Arithmetic())
+	require.True(t, line.Estimated())
+	budget := brcapacity.NewBudget("processor time", "ms/s", 0.75)
+	require.True(t, budget.Over([]brcapacity.Line{line}))
+}
--- /dev/null
+++ b/internal/decide/brcapacity/line.go
@@ -0,0 +1,140 @@
+package brcapacity
+
+import "strings"
+
+// Line is one cost of one role: a sum of products. It is immutable.
+type Line struct {
+	role      string
+	resource  string
+	unit      string
+	mechanism string
+	terms     []term
+}
+
+// term is a product of quantities, scaled from their units to the line's unit.
+type term struct {
+	scale   float64
+	factors []Quantity
+}
+
+// NewLine returns a line without terms for what a role uses of a resource.
+func NewLine(role, resource, unit string) Line {
+	return Line{role: role, resource: resource, unit: unit}
+}
+
+// CarriedBy returns the line with the mechanism that carries the cost.
+func (l Line) CarriedBy(mechanism string) Line {
+	l.mechanism = mechanism
+	return l
+}
+
+// Add returns the line with one more product of quantities whose units
+// multiply to the line's unit.
+func (l Line) Add(factors ...Quantity) Line {
+	return l.AddScaled(1, factors...)
+}
+
+// AddScaled returns the line with one more product, scaled by a change of unit
+// such as 1e-6 from ns to ms.
+func (l Line) AddScaled(scale float64, factors ...Quantity) Line {
+	l.terms = append(l.terms[:len(l.terms):len(l.terms)], term{scale: scale, factors: factors})
+	return l
+}
+
+// Role returns the role.
+func (l Line) Role() string { return l.role }
+
+// Resource returns what is used.
+func (l Line) Resource() string { return l.resource }
+
+// Unit returns the unit of the value.
+func (l Line) Unit() string { return l.unit }
+
+// Mechanism returns what carries the cost.
+func (l Line) Mechanism() string { return l.mechanism }
+
+// Value returns the sum of the products.
+func (l Line) Value() float64 {
+	sum := 0.0
+	for _, t := range l.terms {
+		sum += t.value()
+	}
+	return sum
+}
+
+// Estimated reports whether any quantity of the line is an estimate.
+func (l Line) Estimated() bool {
+	for _, t := range l.terms {
+		for _, f := range t.factors {
+			if f.origin == OriginEstimated {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Text returns the value with its unit.
+func (l Line) Text() string {
+	return number(l.Value()) + " " + l.unit
+}
+
+// Arithmetic writes out how the value comes about.
+func (l Line) Arithmetic() string {
+	products := make([]string, 0, len(l.terms))
+	for _, t := range l.terms {
+		factors := make([]string, 0, len(t.factors))
+		for _, f := range t.factors {
+			factors = append(factors, f.String())
+		}
+		products = append(products, strings.Join(factors, " × "))
+	}
+	return strings.Join(products, " + ") + " = " + l.Text()
+}
+
+func (t term) value() float64 {
+	product := t.scale
+	for _, f := range t.factors {
+		product *= f.value
+	}
+	return product
+}
+
+// Budget bounds the sum of the lines of one resource.
+type Budget struct {
+	resource string
+	unit     string
+	limit    float64
+}
+
+// NewBudget returns the limit of a resource.
+func NewBudget(resource, unit string, limit float64) Budget {
+	return Budget{resource: resource, unit: unit, limit: limit}
+}
+
+// Resource returns the resource.
+func (b Budget) Resource() string { return b.resource }
+
+// Limit returns the limit with its unit.
+func (b Budget) Limit() string { return number(b.limit) + " " + b.unit }
+
+// Used returns the sum over the lines of the resource.
+func (b Budget) Used(lines []Line) float64 {
+	sum := 0.0
+	for _, l := range lines {
+		if l.resource == b.resource {
+			sum += l.Value()
+		}
+	}
+	return sum
+}
+
+// Text returns the sum over the lines with its unit.
+func (b Budget) Text(lines []Line) string {
+	return number(b.Used(lines)) + " " + b.unit
+}
+
+// Over reports whether the lines use more than the limit.
+func (b Budget) Over(lines []Line) bool {
+	return b.Used(lines) > b.limit
+}
