Claim requests with an Idempotency-Key before they run

Cause: a ledger entry or a charge must run at most once, also when its caller sends it again to another VM, after a crash, or after the table's answer to the claim was lost. Change: claims told apart by a nonce, judged against the table's row; a duty that writes many claims at a time and reads back whose claim is kept.

--- /dev/null
+++ b/internal/codec/brclaimrow/row.go
@@ -0,0 +1,96 @@
+// Package brclaimrow encodes the records of claims as rows of the platform's
+// table.
+//
+// # Usage
+//
+//	key := brclaimrow.Key(claim.ID())
+//	data, err := brclaimrow.Encode(record)
+//	record, err = brclaimrow.Decode(data)
+package brclaimrow
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/model/brclaim"
+	"bergamotroad.example/bergamotroad/internal/model/brmessage"
+)
+
+// Prefix is the prefix of the keys of all claims.
+const Prefix = "claims/"
+
+// Key returns the key of the row of a claim.
+func Key(id brclaim.ID) string {
+	return Prefix + string(id)
+}
+
+type rowDocument struct {
+	ID          string          `json:"id"`
+	Nonce       string          `json:"nonce"`
+	Fingerprint string          `json:"fingerprint"`
+	VM          string          `json:"vm"`
+	At          time.Time       `json:"at"`
+	Deadline    time.Time       `json:"deadline"`
+	State       string          `json:"state"`
+	Answer      *answerDocument `json:"answer,omitempty"`
+}
+
+type answerDocument struct {
+	Status int                 `json:"status"`
+	Fields map[string][]string `json:"fields,omitempty"`
+	Body   []byte              `json:"body,omitempty"`
+}
+
+// Encode writes a record.
+func Encode(record brclaim.Record) ([]byte, error) {
+	claim := record.Claim()
+	document := rowDocument{
+		ID:          string(claim.ID()),
+		Nonce:       claim.Nonce(),
+		Fingerprint: string(claim.Fingerprint()),
+		VM:          claim.VM(),
+		At:          claim.At(),
+		Deadline:    claim.Deadline(),
+		State:       string(record.State()),
+	}
+	if answer, ok := record.Answer().Get(); ok {
+		document.Answer = documentOf(answer)
+	}
+	data, err := json.Marshal(document)
+	if err != nil {
+		return nil, errors.Errorf("encode claim: %w", err)
+	}
+	return data, nil
+}
+
+// Decode reads a record.
+func Decode(data []byte) (brclaim.Record, error) {
+	var document rowDocument
+	if err := json.Unmarshal(data, &document); err != nil {
+		return brclaim.Record{}, errors.Errorf("decode claim: %w", err)
+	}
+	claim := brclaim.NewClaim(
+		brclaim.ID(document.ID),
+		document.Nonce,
+		brclaim.Fingerprint(document.Fingerprint),
+		document.VM,
+		document.At,
+		document.Deadline,
+	)
+	record := brclaim.NewRecord(claim)
+	if document.Answer != nil {
+		answer := document.Answer
+		return record.WithAnswer(brclaim.NewAnswer(answer.Status, brmessage.NewFields(answer.Fields), answer.Body)), nil
+	}
+	return record.WithState(brclaim.State(document.State)), nil
+}
+
+func documentOf(answer brclaim.Answer) *answerDocument {
+	document := &answerDocument{Status: answer.Status(), Fields: map[string][]string{}, Body: answer.Body()}
+	for name, values := range answer.Fields().All() {
+		document.Fields[name] = values
+	}
+	return document
+}
--- a/internal/core/brring/reply.go
+++ b/internal/core/brring/reply.go
@@ -11,6 +11,11 @@
 	ring *Queue[T]
 }
 
+// NewReply returns a reply that answers into a ring.
+func NewReply[T any](ring *Queue[T]) Reply[T] {
+	return Reply[T]{ring: ring}
+}
+
 // Answer hands the answer to the sender. A second answer is dropped.
 func (r Reply[T]) Answer(answer T) {
 	_ = r.ring.Send(answer)
--- /dev/null
+++ b/internal/duty/brclaiming/handler.go
@@ -0,0 +1,210 @@
+package brclaiming
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"bergamotroad.example/bergamotroad/internal/codec/brclaimrow"
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/decide/bridempotent"
+	"bergamotroad.example/bergamotroad/internal/model/brclaim"
+	"bergamotroad.example/bergamotroad/internal/peer/brtable"
+)
+
+const (
+	maxBatch       = 64   // rows of one transaction
+	maxKept        = 4096 // records that wait to be written
+	retryDelay     = 50 * time.Millisecond
+	keepRetryDelay = time.Second
+)
+
+// step is what a claim needs next.
+type step int
+
+const (
+	stepWrite step = iota
+	stepRead
+)
+
+// attempt is a claim on its way.
+type attempt struct {
+	message message
+	step    step
+	due     time.Time
+}
+
+// handler makes one call to the table in each round, so that it comes back to
+// its ring between calls.
+type handler struct {
+	table    brtable.Table
+	clock    brclock.Clock
+	attempts []*attempt
+	records  []brclaim.Record
+	keepDue  time.Time
+}
+
+// Handle takes a claim or a record.
+func (h *handler) Handle(_ context.Context, m message) {
+	if m.keeps {
+		h.keep(m.record)
+		return
+	}
+	h.attempts = append(h.attempts, &attempt{message: m})
+}
+
+// Update does nothing: claims depend on no snapshot.
+func (*handler) Update(context.Context, struct{}) {}
+
+// Tick makes one call to the table, if one is due.
+func (h *handler) Tick(ctx context.Context, now time.Time) {
+	h.giveUp(now)
+	if a := h.dueRead(now); a != nil {
+		h.read(ctx, a)
+		return
+	}
+	if batch := h.dueWrites(now); len(batch) > 0 {
+		h.write(ctx, batch)
+		return
+	}
+	if len(h.records) > 0 && !now.Before(h.keepDue) {
+		h.writeRecords(ctx)
+	}
+}
+
+// Due returns the time until the next call to the table.
+func (h *handler) Due(now time.Time) (time.Duration, bool) {
+	if len(h.attempts) == 0 && len(h.records) == 0 {
+		return 0, false
+	}
+	due := now.Add(time.Hour)
+	for _, a := range h.attempts {
+		due = earlier(due, a.due)
+		due = earlier(due, a.message.until)
+	}
+	if len(h.records) > 0 {
+		due = earlier(due, h.keepDue)
+	}
+	return due.Sub(now), true
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// keep puts a record where it waits to be written. The oldest one makes room;
+// its claim then reads as unknown.
+func (h *handler) keep(record brclaim.Record) {
+	if len(h.records) >= maxKept {
+		h.records = slices.Delete(h.records, 0, 1)
+	}
+	h.records = append(h.records, record)
+}
+
+// giveUp answers the claims whose patience is over.
+func (h *handler) giveUp(now time.Time) {
+	h.attempts = slices.DeleteFunc(h.attempts, func(a *attempt) bool {
+		over := !now.Before(a.message.until)
+		if over {
+			a.message.reply.Answer(Ruling{err: ErrClaimUnavailable{}})
+		}
+		return over
+	})
+}
+
+func (h *handler) dueRead(now time.Time) *attempt {
+	for _, a := range h.attempts {
+		if a.step == stepRead && !now.Before(a.due) {
+			return a
+		}
+	}
+	return nil
+}
+
+// dueWrites returns the claims of the next transaction, each row once.
+func (h *handler) dueWrites(now time.Time) []*attempt {
+	batch := []*attempt{}
+	for _, a := range h.attempts {
+		same := func(other *attempt) bool { return other.message.claim.ID() == a.message.claim.ID() }
+		if a.step != stepWrite || now.Before(a.due) || slices.ContainsFunc(batch, same) {
+			continue
+		}
+		batch = append(batch, a)
+		if len(batch) == maxBatch {
+			break
+		}
+	}
+	return batch
+}
+
+func (h *handler) write(ctx context.Context, batch []*attempt) {
+	transaction := brtable.NewTransaction()
+	for _, a := range batch {
+		row, err := brclaimrow.Encode(brclaim.NewRecord(a.message.claim))
+		if err != nil {
+			h.settle(a, Ruling{err: err})
+			return
+		}
+		key := brclaimrow.Key(a.message.claim.ID())
+		transaction = transaction.Require(key, 0).Put(key, row)
+	}
+	err := h.table.Commit(ctx, transaction)
+	for _, a := range batch {
+		switch {
+		case err == nil:
+			h.settle(a, Ruling{judgement: bridempotent.Run, record: brclaim.NewRecord(a.message.claim)})
+		case brtable.IsErrUnavailable(err):
+			a.due = h.clock.Now().Add(retryDelay)
+		default:
+			// Someone's row is there, or the outcome is unknown: read whose.
+			a.step = stepRead
+		}
+	}
+}
+
+// read looks whose claim is kept. Where there is none the claim is written
+// again: a write that was lost can't win any more without carrying its nonce.
+func (h *handler) read(ctx context.Context, a *attempt) {
+	row, err := h.table.Read(ctx, brclaimrow.Key(a.message.claim.ID()))
+	if brtable.IsErrRowNotExist(err) {
+		a.step = stepWrite
+		return
+	}
+	if err != nil {
+		a.due = h.clock.Now().Add(retryDelay)
+		return
+	}
+	record, err := brclaimrow.Decode(row.Value())
+	if err != nil {
+		h.settle(a, Ruling{err: err})
+		return
+	}
+	judgement := bridempotent.Judge(record, a.message.claim, h.clock.Now())
+	h.settle(a, Ruling{judgement: judgement, record: record})
+}
+
+func (h *handler) settle(a *attempt, ruling Ruling) {
+	a.message.reply.Answer(ruling)
+	h.attempts = slices.DeleteFunc(h.attempts, func(other *attempt) bool { return other == a })
+}
+
+// writeRecords writes the oldest records. Only the VM whose claim was kept
+// writes its row, so that a repeated write changes nothing.
+func (h *handler) writeRecords(ctx context.Context) {
+	batch := h.records[:min(len(h.records), maxBatch)]
+	transaction := brtable.NewTransaction()
+	for _, record := range batch {
+		row, err := brclaimrow.Encode(record)
+		if err == nil {
+			transaction = transaction.Put(brclaimrow.Key(record.Claim().ID()), row)
+		}
+	}
+	if err := h.table.Commit(ctx, transaction); err != nil {
+		h.keepDue = h.clock.Now().Add(keepRetryDelay)
+		return
+	}
+	h.records = slices.Delete(h.records, 0, len(batch))
+}
