Check settings strictly, at any depth, with each fault's path

Cause: encoding/json stops at the first unknown field or wrong type, takes names of any case and lets a field stand twice; TLS, limits, drain times and the choice of administration had no settings. Change: the file is read to a tree, sections ask for fields by name, and what no one asked for is unknown. TLS or plain: true on each front, limits, drain times, openAdministration or administratorTokenHash.

--- /dev/null
+++ b/internal/service/brsettings/limits.go
@@ -0,0 +1,107 @@
+package brsettings
+
+import "time"
+
+// Limits bound what a front takes from its clients.
+type Limits struct {
+	headerBytes           int64
+	bodyBytes             int64
+	headerTimeout         time.Duration
+	idleTimeout           time.Duration
+	bodyGrace             time.Duration
+	bodyRate              int64
+	connections           int64
+	connectionsPerAddress int64
+	requests              int64
+}
+
+// HeaderBytes returns the largest size of a request line with its fields.
+func (l Limits) HeaderBytes() int { return int(l.headerBytes) }
+
+// BodyBytes returns the largest size of a body. A route may allow less.
+func (l Limits) BodyBytes() int64 { return l.bodyBytes }
+
+// HeaderTimeout returns the longest time that a header may take to arrive.
+func (l Limits) HeaderTimeout() time.Duration { return l.headerTimeout }
+
+// IdleTimeout returns how long a connection may wait for its next request.
+func (l Limits) IdleTimeout() time.Duration { return l.idleTimeout }
+
+// BodyGrace returns the time that a body may take beyond what BodyRate gives it.
+func (l Limits) BodyGrace() time.Duration { return l.bodyGrace }
+
+// BodyRate returns the least progress of a body, in bytes a second.
+func (l Limits) BodyRate() int64 { return l.bodyRate }
+
+// Connections returns the largest number of connections.
+func (l Limits) Connections() int { return int(l.connections) }
+
+// ConnectionsPerAddress returns the largest number of connections of one client address.
+func (l Limits) ConnectionsPerAddress() int { return int(l.connectionsPerAddress) }
+
+// Requests returns the largest number of requests at a time.
+func (l Limits) Requests() int { return int(l.requests) }
+
+const (
+	minHeaderBytes    = 1 << 10
+	maxHeaderBytes    = 1 << 20
+	maxBodyBytes      = 1 << 40
+	minTimeout        = 10 * time.Millisecond
+	maxTimeout        = time.Hour
+	maxBodyRate       = 1 << 30 // bytes a second
+	maxConnections    = 1 << 20
+	defaultHeader     = 32 << 10  // bytes
+	defaultBody       = 64 << 20  // bytes
+	defaultPeerBody   = 256 << 20 // bytes
+	defaultBodyRate   = 1 << 10   // bytes a second
+	defaultTimeout    = 5 * time.Second
+	defaultIdle       = time.Minute
+	defaultBodyGrace  = 10 * time.Second
+	defaultRequests   = 2048
+	defaultFromOne    = 512 // connections of one address
+	defaultInAll      = 4096
+	defaultOfOperator = 256 // connections and requests of operators
+)
+
+var (
+	callerDefaults = Limits{
+		headerBytes:           defaultHeader,
+		bodyBytes:             defaultBody,
+		headerTimeout:         defaultTimeout,
+		idleTimeout:           defaultIdle,
+		bodyGrace:             defaultBodyGrace,
+		bodyRate:              defaultBodyRate,
+		connections:           defaultInAll,
+		connectionsPerAddress: defaultFromOne,
+		requests:              defaultRequests,
+	}
+	peerDefaults     = callerDefaults.withBody(defaultPeerBody)
+	operatorDefaults = callerDefaults.withBody(defaultBody).withCount(defaultOfOperator)
+)
+
+func (l Limits) withBody(bytes int64) Limits {
+	l.bodyBytes = bytes
+	return l
+}
+
+func (l Limits) withCount(count int64) Limits {
+	l.connections = count
+	l.connectionsPerAddress = count
+	l.requests = count
+	return l
+}
+
+func limitsOf(s *section, defaults Limits) Limits {
+	defer s.finish()
+	return Limits{
+		headerBytes:           s.number("headerBytes", defaults.headerBytes, minHeaderBytes, maxHeaderBytes),
+		bodyBytes:             s.number("bodyBytes", defaults.bodyBytes, 0, maxBodyBytes),
+		headerTimeout:         s.duration("headerTimeout", defaults.headerTimeout, minTimeout, maxTimeout),
+		idleTimeout:           s.duration("idleTimeout", defaults.idleTimeout, minTimeout, maxTimeout),
+		bodyGrace:             s.duration("bodyGrace", defaults.bodyGrace, minTimeout, maxTimeout),
+		bodyRate:              s.number("bodyRate", defaults.bodyRate, 1, maxBodyRate),
+		connections:           s.number("connections", defaults.connections, 1, maxConnections),
+		connectionsPerAddress: s.number("connectionsPerAddress", defaults.connectionsPerAddress, 1, maxConnections),
+		requests:              s.number("requests", defaults.requests, 1, maxConnections),
+	}
+}
--- a/internal/service/brsettings/load.go
+++ b/internal/service/brsettings/load.go
@@ -1,12 +1,10 @@
 package brsettings
 
 import (
-	"bytes"
-	"encoding/json"
-	"io"
 	"net/netip"
 	"net/url"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -14,32 +12,12 @@
 
 const (
 	defaultPlatformTimeout = time.Second
+	minPlatformTimeout     = time.Millisecond
 	maxPlatformTimeout     = time.Minute
 	defaultLogLevel        = "info"
+	maxNameBytes           = 128
 )
 
-type settingsDocument struct {
-	VM        string           `json:"vm"`
-	Domain    string           `json:"domain"`
-	Callers   frontDocument    `json:"callers"`
-	Peers     frontDocument    `json:"peers"`
-	Operators frontDocument    `json:"operators"`
-	Platform  platformDocument `json:"platform"`
-	LogLevel  string           `json:"logLevel"`
-}
-
-type frontDocument struct {
-	Address string `json:"address"`
-	Plain   bool   `json:"plain"`
-}
-
-type platformDocument struct {
-	Table   string `json:"table"`
-	Objects string `json:"objects"`
-	VMs     string `json:"vms"`
-	Timeout string `json:"timeout"`
-}
-
 // Load reads and checks the settings in a file.
 func Load(path string) (Settings, error) {
 	data, err := os.ReadFile(path)
@@ -55,92 +33,111 @@
 
 // Parse reads and checks settings. Its error names every fault with its path.
 func Parse(data []byte) (Settings, error) {
-	var document settingsDocument
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&document); err != nil {
-		return Settings{}, errors.Errorf("decode JSON: %w", err)
-	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return Settings{}, errors.New("more than one JSON value")
-	}
-	c := &checker{}
-	settings := c.settings(document)
-	if err := errors.Join(c.faults...); err != nil {
+	r := &reader{}
+	value, err := parseTree(data, &r.faults)
+	if err != nil {
+		return Settings{}, err
+	}
+	if value == nil {
+		r.faults.add(orRoot(""), "must be an object")
+	}
+	settings := settingsOf(r.section("", value))
+	if err := r.faults.err(); err != nil {
 		return Settings{}, err
 	}
 	return settings, nil
 }
 
-type checker struct {
-	faults []error
+func settingsOf(s *section) Settings {
+	defer s.finish()
+	settings := Settings{
+		vm:        nameOf(s, "vm"),
+		domain:    nameOf(s, "domain"),
+		callers:   frontOf(s.section("callers"), callerDefaults, frontOptions{}),
+		peers:     frontOf(s.section("peers"), peerDefaults, frontOptions{mutual: true}),
+		operators: frontOf(s.section("operators"), operatorDefaults, frontOptions{administration: true}),
+		platform:  platformOf(s.section("platform")),
+		drain:     drainOf(s.section("drain")),
+		logLevel:  logLevelOf(s, "logLevel"),
+	}
+	checkAddresses(s, settings)
+	return settings
 }
 
-func (c *checker) fault(path, text string) {
-	c.faults = append(c.faults, errors.Errorf("%s: %s", path, text))
+// checkAddresses reports fronts that would listen on one address.
+func checkAddresses(s *section, settings Settings) {
+	seen := map[string]string{}
+	fronts := []struct{ name, address string }{
+		{"callers", settings.callers.address},
+		{"peers", settings.peers.address},
+		{"operators", settings.operators.address},
+	}
+	for _, f := range fronts {
+		if other, twice := seen[f.address]; twice && f.address != "" {
+			s.fault(f.name+".address", "must differ from "+other+".address")
+		}
+		seen[f.address] = f.name
+	}
 }
 
-func (c *checker) settings(d settingsDocument) Settings {
-	return Settings{
-		vm:        c.name("vm", d.VM),
-		domain:    c.name("domain", d.Domain),
-		callers:   c.front("callers", d.Callers),
-		peers:     c.front("peers", d.Peers),
-		operators: c.front("operators", d.Operators),
-		platform: Platform{
-			table:   c.url("platform.table", d.Platform.Table),
-			objects: c.url("platform.objects", d.Platform.Objects),
-			vms:     c.url("platform.vms", d.Platform.VMs),
-			timeout: c.timeout("platform.timeout", d.Platform.Timeout),
-		},
-		logLevel: c.logLevel("logLevel", d.LogLevel),
+func nameOf(s *section, field string) string {
+	name := s.text(field)
+	if len(name) > maxNameBytes || strings.ContainsFunc(name, isNotInName) {
+		s.fault(field, "must have up to 128 letters, digits, '-', '_' and '.'")
 	}
+	return name
 }
 
-func (c *checker) name(path, value string) string {
-	if value == "" {
-		c.fault(path, "is missing")
+func isNotInName(r rune) bool {
+	switch {
+	case r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z', r >= '0' && r <= '9':
+		return false
+	default:
+		return r != '-' && r != '_' && r != '.'
 	}
-	return value
 }
 
-func (c *checker) front(path string, d frontDocument) Front {
-	if _, err := netip.ParseAddrPort(d.Address); err != nil {
-		c.fault(path+".address", "must be an IP number with a port")
+// addressOf returns an IP number with a port.
+func addressOf(s *section, field string) string {
+	text := s.text(field)
+	if text == "" {
+		return ""
 	}
-	if !d.Plain {
-		c.fault(path+".plain", "must be true: TLS is not configured")
+	address, err := netip.ParseAddrPort(text)
+	if err != nil || address.Port() == 0 {
+		s.fault(field, "must be an IP number with a port")
 	}
-	return Front{address: d.Address, plain: d.Plain}
+	return text
 }
 
-func (c *checker) url(path, value string) string {
-	parsed, err := url.Parse(value)
-	if err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
-		c.fault(path, "must be an http or https URL")
+func platformOf(s *section) Platform {
+	defer s.finish()
+	return Platform{
+		table:   urlOf(s, "table"),
+		objects: urlOf(s, "objects"),
+		vms:     urlOf(s, "vms"),
+		timeout: s.duration("timeout", defaultPlatformTimeout, minPlatformTimeout, maxPlatformTimeout),
 	}
-	return value
 }
 
-func (c *checker) timeout(path, value string) time.Duration {
-	if value == "" {
-		return defaultPlatformTimeout
+func urlOf(s *section, field string) string {
+	text := s.text(field)
+	if text == "" {
+		return ""
 	}
-	timeout, err := time.ParseDuration(value)
-	if err != nil || timeout <= 0 || timeout > maxPlatformTimeout {
-		c.fault(path, "must be a duration above 0 and up to 1m")
+	parsed, err := url.Parse(text)
+	if err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
+		s.fault(field, "must be an http or https URL")
 	}
-	return timeout
+	return text
 }
 
-func (c *checker) logLevel(path, value string) string {
-	switch value {
-	case "":
-		return defaultLogLevel
-	case "debug", "info", "warn", "error":
-		return value
+func logLevelOf(s *section, field string) string {
+	level := s.textOr(field, defaultLogLevel)
+	switch level {
+	case "", "debug", "info", "warn", "error":
 	default:
-		c.fault(path, "must be debug, info, warn or error")
-		return value
+		s.fault(field, "must be debug, info, warn or error")
 	}
+	return level
 }
--- /dev/null
+++ b/internal/service/brsettings/section.go
@@ -0,0 +1,154 @@
+package brsettings
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// reader collects the faults of a file and the paths of all settings.
+type reader struct {
+	faults faults
+	paths  []string
+}
+
+// section reads the fields of one JSON object. Each field is asked for once;
+// what was not asked for is unknown.
+type section struct {
+	reader *reader
+	path   string
+	fields object
+	known  map[string]bool
+}
+
+func (r *reader) section(path string, value any) *section {
+	fields, ok := value.(object)
+	if !ok && value != nil {
+		r.faults.add(orRoot(path), "must be an object")
+	}
+	return &section{reader: r, path: path, fields: fields, known: map[string]bool{}}
+}
+
+func orRoot(path string) string {
+	if path == "" {
+		return "file"
+	}
+	return path
+}
+
+func (s *section) fault(name, text string) {
+	s.reader.faults.add(join(s.path, name), text)
+}
+
+func (s *section) has(name string) bool {
+	_, ok := s.fields[name]
+	return ok
+}
+
+func (s *section) take(name string) (any, bool) {
+	s.known[name] = true
+	value, ok := s.fields[name]
+	return value, ok
+}
+
+// leaf takes a value that is no object.
+func (s *section) leaf(name string) (any, bool) {
+	s.reader.paths = append(s.reader.paths, join(s.path, name))
+	return s.take(name)
+}
+
+// section returns an object within the object. The fields of a missing one are
+// reported where they are required.
+func (s *section) section(name string) *section {
+	value, ok := s.take(name)
+	if ok && value == nil {
+		s.fault(name, "must be an object")
+	}
+	return s.reader.section(join(s.path, name), value)
+}
+
+// text returns a required string.
+func (s *section) text(name string) string {
+	value, ok := s.leaf(name)
+	if !ok {
+		s.fault(name, "is missing")
+		return ""
+	}
+	text, ok := value.(string)
+	if !ok {
+		s.fault(name, "must be a string")
+		return ""
+	}
+	if text == "" {
+		s.fault(name, "must not be empty")
+	}
+	return text
+}
+
+// textOr returns a string or its default.
+func (s *section) textOr(name, standard string) string {
+	if !s.has(name) {
+		_, _ = s.leaf(name)
+		return standard
+	}
+	return s.text(name)
+}
+
+// flag returns a boolean, false where it is missing.
+func (s *section) flag(name string) bool {
+	value, ok := s.leaf(name)
+	if !ok {
+		return false
+	}
+	flag, ok := value.(bool)
+	if !ok {
+		s.fault(name, "must be true or false")
+	}
+	return flag
+}
+
+// number returns a whole number of a range, or its default.
+func (s *section) number(name string, standard, least, most int64) int64 {
+	value, ok := s.leaf(name)
+	if !ok {
+		return standard
+	}
+	number, ok := value.(json.Number)
+	if !ok {
+		s.fault(name, "must be a number")
+		return standard
+	}
+	whole, err := number.Int64()
+	if err != nil || whole < least || whole > most {
+		s.fault(name, fmt.Sprintf("must be a whole number from %d to %d", least, most))
+		return standard
+	}
+	return whole
+}
+
+// duration returns a duration of a range, or its default.
+func (s *section) duration(name string, standard, least, most time.Duration) time.Duration {
+	if !s.has(name) {
+		_, _ = s.leaf(name)
+		return standard
+	}
+	text := s.text(name)
+	if text == "" {
+		return standard
+	}
+	duration, err := time.ParseDuration(text)
+	if err != nil || duration < least || duration > most {
+		s.fault(name, fmt.Sprintf("must be a duration from %v to %v", least, most))
+		return standard
+	}
+	return duration
+}
+
+// finish reports the fields that no one asked for.
+func (s *section) finish() {
+	for name := range s.fields {
+		if !s.known[name] {
+			s.fault(name, "is unknown")
+		}
+	}
+}
--- a/internal/service/brsettings/settings.go
+++ b/internal/service/brsettings/settings.go
@@ -19,6 +19,7 @@
 	peers     Front
 	operators Front
 	platform  Platform
+	drain     Drain
 	logLevel  string
 }
 
@@ -40,21 +41,12 @@
 // Platform returns where the platform's services are.
 func (s Settings) Platform() Platform { return s.platform }
 
+// Drain returns how long a planned stop may take.
+func (s Settings) Drain() Drain { return s.drain }
+
 // LogLevel returns the least level that is logged.
 func (s Settings) LogLevel() string { return s.logLevel }
 
-// Front is an address that the VM listens on.
-type Front struct {
-	address string
-	plain   bool
-}
-
-// Address returns host:port.
-func (f Front) Address() string { return f.address }
-
-// Plain reports whether the front speaks plain TCP.
-func (f Front) Plain() bool { return f.plain }
-
 // Platform says where the platform's services are.
 type Platform struct {
 	table   string
