Check references at a cost that grows with the change

Cause: a delete read every resource to see whether one still needed it, and nothing kept two blocks from having one prefix. Each spec has a file.

--- /dev/null
+++ b/internal/codec/brdocument/spec_organisation.go
@@ -0,0 +1,27 @@
+package brdocument
+
+import (
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+)
+
+type organisationSpec struct {
+	Weight int    `json:"weight,omitempty"`
+	KeyAge string `json:"keyAge,omitempty"`
+}
+
+func (s *organisationSpec) resource(meta brconfig.Meta) (brconfig.Resource, error) {
+	o := brconfig.NewOrganisation(meta)
+	if s.Weight < 0 {
+		return nil, errors.New("weight: must not be negative")
+	}
+	if s.Weight > 0 {
+		o = o.WithWeight(s.Weight)
+	}
+	age, err := duration("keyAge", s.KeyAge, o.KeyAge())
+	if err != nil {
+		return nil, err
+	}
+	return o.WithKeyAge(age), nil
+}
--- /dev/null
+++ b/internal/codec/brdocument/spec_unit.go
@@ -0,0 +1,40 @@
+package brdocument
+
+import (
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brunit"
+)
+
+type unitSpec struct {
+	Standard string            `json:"standard"`
+	Weights  map[string]string `json:"weights,omitempty"`
+}
+
+func unitSpecOf(u brconfig.Unit) *unitSpec {
+	spec := &unitSpec{Standard: u.Standard().String()}
+	for route, weight := range u.Weights() {
+		if spec.Weights == nil {
+			spec.Weights = map[string]string{}
+		}
+		spec.Weights[route] = weight.String()
+	}
+	return spec
+}
+
+func (s *unitSpec) resource(meta brconfig.Meta) (brconfig.Resource, error) {
+	standard, err := brunit.Parse(s.Standard)
+	if err != nil {
+		return nil, errors.Errorf("standard: %w", err)
+	}
+	u := brconfig.NewUnit(meta, standard)
+	for route, text := range s.Weights {
+		weight, err := brunit.Parse(text)
+		if err != nil {
+			return nil, errors.Errorf("weights.%s: %w", route, err)
+		}
+		u = u.WithWeight(route, weight)
+	}
+	return u, nil
+}
--- a/internal/model/brconfig/block.go
+++ b/internal/model/brconfig/block.go
@@ -52,3 +52,6 @@
 
 // Distances returns the candidate sites. The caller must not change the slice.
 func (b Block) Distances() []Distance { return b.distances }
+
+// Claims returns the range of addresses.
+func (b Block) Claims() []Claim { return []Claim{NewClaim("prefix", b.prefix.Masked().String())} }
--- a/internal/model/brconfig/error.go
+++ b/internal/model/brconfig/error.go
@@ -44,3 +44,27 @@
 	_, ok := errors.Into[ErrKindNotExist](err)
 	return ok
 }
+
+// ErrClaimed says that two resources have what only one may have.
+type ErrClaimed struct {
+	claim  Claim
+	by     Reference
+	holder Reference
+}
+
+// Error names the claim and both resources.
+func (e ErrClaimed) Error() string {
+	return fmt.Sprintf("%s has %s, which %s has already", e.by, e.claim, e.holder)
+}
+
+// By returns the resource that was refused.
+func (e ErrClaimed) By() Reference { return e.by }
+
+// Holder returns the resource that has the claim.
+func (e ErrClaimed) Holder() Reference { return e.holder }
+
+// IsErrClaimed reports whether err is or wraps ErrClaimed.
+func IsErrClaimed(err error) bool {
+	_, ok := errors.Into[ErrClaimed](err)
+	return ok
+}
--- a/internal/model/brconfig/organisation.go
+++ b/internal/model/brconfig/organisation.go
@@ -73,6 +73,9 @@
 // Hash returns the SHA-256 of the key in lower-case hexadecimal.
 func (k Key) Hash() string { return k.hash }
 
+// Claims returns the hash.
+func (k Key) Claims() []Claim { return []Claim{NewClaim("key hash", k.hash)} }
+
 // Unit says what one request weighs in a contract's terms.
 type Unit struct {
 	Meta
@@ -159,3 +162,6 @@
 
 // Burst returns the units that may be used at once.
 func (c Contract) Burst() brunit.Amount { return c.burst }
+
+// Claims returns the organisation, which has one contract at most.
+func (c Contract) Claims() []Claim { return []Claim{NewClaim("contract of", c.organisation)} }
--- a/internal/model/brconfig/snapshot.go
+++ b/internal/model/brconfig/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"iter"
 	"maps"
+	"slices"
 
 	"bergamotroad.example/bergamotroad/internal/core/broption"
 )
@@ -12,11 +13,12 @@
 type Snapshot struct {
 	generation uint64
 	stores     map[Kind]store
+	index      index
 }
 
 // NewSnapshot returns the empty configuration, generation 0.
 func NewSnapshot() *Snapshot {
-	return &Snapshot{stores: map[Kind]store{
+	return &Snapshot{index: newIndex(), stores: map[Kind]store{
 		KindRegion:       storeOf[Region]{},
 		KindDomain:       storeOf[Domain]{},
 		KindLink:         storeOf[Link]{},
@@ -33,6 +35,12 @@
 	}}
 }
 
+// kinds are all kinds of resources, by name.
+var kinds = slices.Sorted(maps.Keys(NewSnapshot().stores))
+
+// Kinds returns all kinds of resources, by name. The caller must not change the slice.
+func Kinds() []Kind { return kinds }
+
 // Generation returns the number of the accepted change that made the snapshot.
 func (s *Snapshot) Generation() uint64 { return s.generation }
 
@@ -124,68 +132,3 @@
 
 // Resource returns the new resource, or none where it is deleted.
 func (c Change) Resource() broption.Option[Resource] { return c.resource }
-
-// Apply returns the snapshot after changes, as the given generation. It checks
-// that each reference of the changed resources leads somewhere and that no
-// deleted resource is still needed; it returns ErrDangling otherwise.
-func (s *Snapshot) Apply(generation uint64, changes []Change) (*Snapshot, error) {
-	next := &Snapshot{generation: generation, stores: maps.Clone(s.stores)}
-	for _, c := range changes {
-		if err := next.change(c); err != nil {
-			return nil, err
-		}
-	}
-	for _, c := range changes {
-		if err := next.checkReferences(c); err != nil {
-			return nil, err
-		}
-	}
-	return next, nil
-}
-
-func (s *Snapshot) change(c Change) error {
-	rows, ok := s.stores[c.reference.kind]
-	if !ok {
-		return ErrKindNotExist{kind: c.reference.kind}
-	}
-	resource, isPut := c.resource.Get()
-	if !isPut {
-		s.stores[c.reference.kind] = rows.remove(c.reference.name)
-		return nil
-	}
-	changed, ok := rows.put(resource)
-	if !ok {
-		return ErrKindNotExist{kind: resource.Kind()}
-	}
-	s.stores[c.reference.kind] = changed
-	return nil
-}
-
-func (s *Snapshot) checkReferences(c Change) error {
-	resource, isPut := c.resource.Get()
-	if !isPut {
-		return s.checkUnneeded(c.reference)
-	}
-	for _, needed := range resource.References() {
-		if !s.Get(needed).IsPresent() {
-			return ErrDangling{from: c.reference, to: needed}
-		}
-	}
-	return nil
-}
-
-func (s *Snapshot) checkUnneeded(deleted Reference) error {
-	if s.Get(deleted).IsPresent() {
-		return nil
-	}
-	for _, rows := range s.stores {
-		for resource := range rows.all() {
-			for _, needed := range resource.References() {
-				if needed == deleted {
-					return ErrDangling{from: NewReference(resource.Kind(), resource.Name()), to: deleted}
-				}
-			}
-		}
-	}
-	return nil
-}
