Add teams, tokens, selectors, moves and drains to the configuration

Cause: operators had no resources for who may change what, for where labelled traffic goes, or for planned work.

--- a/internal/codec/brdocument/spec.go
+++ b/internal/codec/brdocument/spec.go
@@ -37,6 +37,16 @@
 		return &serverSpec{}, nil
 	case brconfig.KindRoute:
 		return &routeSpec{}, nil
+	case brconfig.KindTeam:
+		return &teamSpec{}, nil
+	case brconfig.KindToken:
+		return &tokenSpec{}, nil
+	case brconfig.KindSelector:
+		return &selectorSpec{}, nil
+	case brconfig.KindMove:
+		return &moveSpec{}, nil
+	case brconfig.KindDrain:
+		return &drainSpec{}, nil
 	default:
 		return nil, errors.Errorf("kind %q does not exist", kind)
 	}
@@ -71,6 +81,16 @@
 		return serverSpecOf(r), nil
 	case brconfig.Route:
 		return routeSpecOf(r), nil
+	case brconfig.Team:
+		return &teamSpec{MaxObjects: r.MaxObjects(), WritesPerMinute: r.WritesPerMinute()}, nil
+	case brconfig.Token:
+		return &tokenSpec{Hash: r.Hash(), Role: string(r.Role())}, nil
+	case brconfig.Selector:
+		return selectorSpecOf(r), nil
+	case brconfig.Move:
+		return moveSpecOf(r), nil
+	case brconfig.Drain:
+		return drainSpecOf(r), nil
 	default:
 		return nil, errors.Errorf("kind %q has no encoding", resource.Kind())
 	}
@@ -89,3 +109,21 @@
 	}
 	return d, nil
 }
+
+func instant(field, text string) (time.Time, error) {
+	if text == "" {
+		return time.Time{}, nil
+	}
+	t, err := time.Parse(time.RFC3339Nano, text)
+	if err != nil {
+		return time.Time{}, errors.Errorf("%s: %w", field, err)
+	}
+	return t.UTC(), nil
+}
+
+func instantText(t time.Time) string {
+	if t.IsZero() {
+		return ""
+	}
+	return t.UTC().Format(time.RFC3339Nano)
+}
--- /dev/null
+++ b/internal/codec/brdocument/spec_move.go
@@ -0,0 +1,81 @@
+package brdocument
+
+import (
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brunit"
+)
+
+type moveSpec struct {
+	Service string `json:"service"`
+	From    string `json:"from"`
+	To      string `json:"to"`
+	Cap     string `json:"cap"`
+	Start   string `json:"start,omitempty"`
+	By      string `json:"by"`
+	State   string `json:"state,omitempty"`
+	Step    int    `json:"step,omitempty"`
+	Reason  string `json:"reason,omitempty"`
+}
+
+func moveSpecOf(m brconfig.Move) *moveSpec {
+	return &moveSpec{
+		Service: m.Service(),
+		From:    m.From(),
+		To:      m.To(),
+		Cap:     m.Cap().String(),
+		Start:   instantText(m.Start()),
+		By:      instantText(m.By()),
+		State:   string(m.State()),
+		Step:    m.Step(),
+		Reason:  m.Reason(),
+	}
+}
+
+func (s *moveSpec) resource(meta brconfig.Meta) (brconfig.Resource, error) {
+	fraction, err := brunit.Parse(s.Cap)
+	if err != nil {
+		return nil, errors.Errorf("cap: %w", err)
+	}
+	start, err := instant("start", s.Start)
+	if err != nil {
+		return nil, err
+	}
+	by, err := instant("by", s.By)
+	if err != nil {
+		return nil, err
+	}
+	move := brconfig.NewMove(meta, s.Service, s.From, s.To).WithCap(fraction).WithTimes(start, by)
+	if s.State != "" {
+		move = move.WithState(brconfig.MoveState(s.State), s.Step, s.Reason)
+	}
+	return move, nil
+}
+
+type drainSpec struct {
+	Target referenceDocument `json:"target"`
+	At     string            `json:"at,omitempty"`
+	By     string            `json:"by,omitempty"`
+}
+
+func drainSpecOf(d brconfig.Drain) *drainSpec {
+	return &drainSpec{
+		Target: referenceDocument{Kind: string(d.Target().Kind()), Name: d.Target().Name()},
+		At:     instantText(d.At()),
+		By:     instantText(d.By()),
+	}
+}
+
+func (s *drainSpec) resource(meta brconfig.Meta) (brconfig.Resource, error) {
+	at, err := instant("at", s.At)
+	if err != nil {
+		return nil, err
+	}
+	by, err := instant("by", s.By)
+	if err != nil {
+		return nil, err
+	}
+	target := brconfig.NewReference(brconfig.Kind(s.Target.Kind), s.Target.Name)
+	return brconfig.NewDrain(meta, target, at, by), nil
+}
--- a/internal/model/brconfig/resource.go
+++ b/internal/model/brconfig/resource.go
@@ -34,6 +34,11 @@
 	KindService      Kind = "service"
 	KindServer       Kind = "server"
 	KindRoute        Kind = "route"
+	KindTeam         Kind = "team"
+	KindToken        Kind = "token"
+	KindSelector     Kind = "selector"
+	KindMove         Kind = "move"
+	KindDrain        Kind = "drain"
 )
 
 // Resource is one named thing that operators configure. Resources are immutable.
--- a/internal/model/brconfig/snapshot.go
+++ b/internal/model/brconfig/snapshot.go
@@ -32,6 +32,11 @@
 		KindService:      storeOf[Service]{},
 		KindServer:       storeOf[Server]{},
 		KindRoute:        storeOf[Route]{},
+		KindTeam:         storeOf[Team]{},
+		KindToken:        storeOf[Token]{},
+		KindSelector:     storeOf[Selector]{},
+		KindMove:         storeOf[Move]{},
+		KindDrain:        storeOf[Drain]{},
 	}}
 }
 
@@ -108,6 +113,21 @@
 // Routes returns the routes.
 func (s *Snapshot) Routes() Table[Route] { return tableOf[Route](s, KindRoute) }
 
+// Teams returns the teams of operators.
+func (s *Snapshot) Teams() Table[Team] { return tableOf[Team](s, KindTeam) }
+
+// Tokens returns the operators' tokens.
+func (s *Snapshot) Tokens() Table[Token] { return tableOf[Token](s, KindToken) }
+
+// Selectors returns the selectors.
+func (s *Snapshot) Selectors() Table[Selector] { return tableOf[Selector](s, KindSelector) }
+
+// Moves returns the moves of versions.
+func (s *Snapshot) Moves() Table[Move] { return tableOf[Move](s, KindMove) }
+
+// Drains returns the drains.
+func (s *Snapshot) Drains() Table[Drain] { return tableOf[Drain](s, KindDrain) }
+
 // Change puts or deletes one resource.
 type Change struct {
 	reference Reference
--- a/internal/model/brunit/amount.go
+++ b/internal/model/brunit/amount.go
@@ -10,6 +10,7 @@
 
 import (
 	"math/big"
+	"strings"
 
 	"github.com/go-faster/errors"
 )
@@ -24,8 +25,15 @@
 	return Amount{value: big.NewRat(numerator, denominator)}
 }
 
-// Parse reads an amount such as "30", "2.5" or "3/4".
+// maxText bounds the text of an amount, in bytes.
+const maxText = 64
+
+// Parse reads an amount such as "30", "2.5" or "3/4". Exponents are refused: a
+// short text could stand for a number that fills the memory.
 func Parse(text string) (Amount, error) {
+	if len(text) > maxText || strings.ContainsAny(text, "eEpPxX_") {
+		return Amount{}, errors.Errorf("%.64q is not a rational number of up to %d digits", text, maxText)
+	}
 	value, ok := new(big.Rat).SetString(text)
 	if !ok {
 		return Amount{}, errors.Errorf("%q is not a rational number", text)
