--- /dev/null
+++ b/internal/decide/braccess/access_test.go
@@ -0,0 +1,58 @@
+package braccess_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bergamotroad.example/bergamotroad/internal/decide/braccess"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brprincipal"
+)
+
+var time0 time.Time
+
+func meta(name, team string) brconfig.Meta { return brconfig.NewMeta(name).WithTeam(team) }
+
+func TestTeamsChangeOnlyWhatIsTheirs(t *testing.T) {
+	snapshot, err := brconfig.NewSnapshot().Apply(1, []brconfig.Change{
+		brconfig.Put(brconfig.NewOrganisation(meta("theirs", "rojo"))),
+		brconfig.Put(brconfig.NewOrganisation(meta("ours", "azul"))),
+	})
+	require.NoError(t, err)
+	editor := brprincipal.New("ana", "azul", brconfig.RoleEditor)
+	administrator := brprincipal.New("eva", "azul", brconfig.RoleAdministrator)
+	viewer := brprincipal.New("leo", "azul", brconfig.RoleViewer)
+	platform := brprincipal.New("root", "", brconfig.RoleAdministrator)
+	platformEditor := brprincipal.New("ops", "", brconfig.RoleEditor)
+	token := brconfig.Put(brconfig.NewToken(meta("t", "azul"), "00", brconfig.RoleViewer))
+	foreignToken := brconfig.Put(brconfig.NewToken(meta("t", ""), "00", brconfig.RoleAdministrator))
+	for _, c := range []struct {
+		name      string
+		principal brprincipal.Principal
+		change    brconfig.Change
+		allowed   bool
+	}{
+		{"own", editor, brconfig.Put(brconfig.NewOrganisation(meta("ours", "azul"))), true},
+		{"viewer", viewer, brconfig.Put(brconfig.NewOrganisation(meta("ours", "azul"))), false},
+		{"taken over", editor, brconfig.Put(brconfig.NewOrganisation(meta("theirs", "azul"))), false},
+		{"given away", editor, brconfig.Put(brconfig.NewOrganisation(meta("ours", "rojo"))), false},
+		{"foreign delete", editor, brconfig.Delete(brconfig.NewReference(brconfig.KindOrganisation, "theirs")), false},
+		{"own key", editor, brconfig.Put(brconfig.NewKey(meta("k", "azul"), "ours", "00")), true},
+		{"key of another's organisation", editor, brconfig.Put(brconfig.NewKey(meta("k", "azul"), "theirs", "00")), false},
+		{"region", editor, brconfig.Put(brconfig.NewRegion(meta("r", "azul"))), false},
+		{"drain of a region", editor, brconfig.Put(brconfig.NewDrain(meta("d", "azul"), brconfig.NewReference(brconfig.KindRegion, "r"), time0, time0)), false},
+		{"editor's token", editor, token, false},
+		{"administrator's token", administrator, token, true},
+		{"platform token by a team", administrator, foreignToken, false},
+		{"team by a team", administrator, brconfig.Put(brconfig.NewTeam(meta("azul", "azul"))), false},
+		{"platform token by an editor", platformEditor, foreignToken, false},
+		{"platform", platform, brconfig.Put(brconfig.NewRegion(meta("r", ""))), true},
+		{"platform for a team", platform, brconfig.Delete(brconfig.NewReference(brconfig.KindOrganisation, "theirs")), true},
+	} {
+		err := braccess.Check(c.principal, snapshot, []brconfig.Change{c.change})
+		require.Equal(t, c.allowed, err == nil, "%s: %v", c.name, err)
+		require.Equal(t, !c.allowed, braccess.IsErrDenied(err), c.name)
+	}
+}
--- /dev/null
+++ b/internal/decide/brselect/resolve.go
@@ -0,0 +1,150 @@
+// Package brselect decides which selectors apply, finds those that contradict
+// each other, and divides requests exactly.
+//
+// # Usage
+//
+//	effects := brselect.Resolve(snapshot, organisation)
+//	weights, ok := effects.Get(brconfig.EffectWeights).Get()
+//	splitter, err := brselect.NewSplitter(targets, fractions)
+//	target, ok := splitter.Next().Get()
+package brselect
+
+import (
+	"fmt"
+	"iter"
+
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/core/broption"
+	"bergamotroad.example/bergamotroad/internal/core/brset"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+)
+
+// Effects are the selectors that decide for one resource, by kind of effect.
+type Effects struct {
+	selectors map[brconfig.EffectKind]brconfig.Selector
+}
+
+// Get returns the selector that decides a kind of effect, if any.
+func (e Effects) Get(kind brconfig.EffectKind) broption.Option[brconfig.Selector] {
+	selector, ok := e.selectors[kind]
+	return broption.Of(selector, ok)
+}
+
+// Resolve returns the selectors that decide for a resource: for each kind of
+// effect the one of the highest priority, and of equals the first by name.
+func Resolve(snapshot *brconfig.Snapshot, resource brconfig.Resource) Effects {
+	effects := Effects{selectors: map[brconfig.EffectKind]brconfig.Selector{}}
+	for s := range snapshot.Selectors().All() {
+		if !s.Matches(resource) {
+			continue
+		}
+		kind := s.Effect().Kind()
+		current, ok := effects.selectors[kind]
+		if !ok || s.Priority() > current.Priority() {
+			effects.selectors[kind] = s
+		}
+	}
+	return effects
+}
+
+// ErrContradiction says that two selectors of one priority decide differently
+// for one resource.
+type ErrContradiction struct {
+	first    string
+	second   string
+	resource brconfig.Reference
+}
+
+// Error names both selectors and the resource.
+func (e ErrContradiction) Error() string {
+	return fmt.Sprintf("selectors %q and %q have the same priority and disagree about %s", e.first, e.second, e.resource)
+}
+
+// Selectors returns the names of both selectors.
+func (e ErrContradiction) Selectors() (first, second string) { return e.first, e.second }
+
+// IsErrContradiction reports whether err is or wraps ErrContradiction.
+func IsErrContradiction(err error) bool {
+	_, ok := errors.Into[ErrContradiction](err)
+	return ok
+}
+
+// CheckChanged returns ErrContradiction where changes lead to a snapshot in
+// which two selectors contradict each other. It looks only at what the changes
+// touch: changed selectors against all resources, changed resources against all selectors.
+func CheckChanged(next *brconfig.Snapshot, changes []brconfig.Change) error {
+	for resource := range touched(next, changes) {
+		if err := checkResource(next, resource); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// touched iterates over the resources whose selectors may differ after changes.
+func touched(next *brconfig.Snapshot, changes []brconfig.Change) iter.Seq[brconfig.Resource] {
+	return func(yield func(brconfig.Resource) bool) {
+		whole := brset.New[brconfig.Kind]()
+		for _, c := range changes {
+			if s, ok := next.Selectors().Get(c.Reference().Name()).Get(); ok && c.Reference().Kind() == brconfig.KindSelector {
+				whole.Add(s.Selects())
+			}
+		}
+		for kind := range whole.All() {
+			for resource := range next.All(kind) {
+				if !yield(resource) {
+					return
+				}
+			}
+		}
+		for _, c := range changes {
+			resource, exists := next.Get(c.Reference()).Get()
+			if exists && !whole.Has(resource.Kind()) && !yield(resource) {
+				return
+			}
+		}
+	}
+}
+
+func checkResource(snapshot *brconfig.Snapshot, resource brconfig.Resource) error {
+	type place struct {
+		kind     brconfig.EffectKind
+		priority int
+	}
+	seen := map[place]brconfig.Selector{}
+	for s := range snapshot.Selectors().All() {
+		if !s.Matches(resource) {
+			continue
+		}
+		at := place{kind: s.Effect().Kind(), priority: s.Priority()}
+		other, ok := seen[at]
+		if ok && !other.Effect().Equal(s.Effect()) {
+			reference := brconfig.NewReference(resource.Kind(), resource.Name())
+			return ErrContradiction{first: other.Name(), second: s.Name(), resource: reference}
+		}
+		seen[at] = s
+	}
+	return nil
+}
+
+// Unmatched returns the names of the changed selectors that match no resource.
+func Unmatched(next *brconfig.Snapshot, changes []brconfig.Change) []string {
+	names := []string{}
+	for _, c := range changes {
+		s, ok := next.Selectors().Get(c.Reference().Name()).Get()
+		if c.Reference().Kind() == brconfig.KindSelector && ok && !matchesAny(next, s) {
+			names = append(names, s.Name())
+		}
+	}
+	return names
+}
+
+func matchesAny(snapshot *brconfig.Snapshot, selector brconfig.Selector) bool {
+	for resource := range snapshot.All(selector.Selects()) {
+		if selector.Matches(resource) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/model/brconfig/selector.go
+++ b/internal/model/brconfig/selector.go
@@ -149,7 +149,11 @@
 // Effect returns what happens to their traffic.
 func (s Selector) Effect() Effect { return s.effect }
 
-// Matches reports whether the selector selects a resource.
+// Matches reports whether the selector selects a resource. A team's selector
+// selects resources of that team only, the platform's those of all teams.
 func (s Selector) Matches(resource Resource) bool {
+	if s.Team() != "" && s.Team() != resource.Team() {
+		return false
+	}
 	return resource.Kind() == s.selects && s.expression.Matches(resource.Labels())
 }
