Prove how far a request came on its way to a backend server

Cause: the transport sends a request again by itself when a kept connection breaks, if its method is idempotent without a body or if it has a field Idempotency-Key; and a connection that was merely given to a request counted as "may have run".

Connections count what was handed to the network and are sealed before "not sent" is said. A 503 with Bergamotroad-Shed: 1 is the only answer that says "not run". An answer whose end is marked by the end of the connection only is never whole. Fields of one connection and the system's own are taken out of answers.

--- /dev/null
+++ b/internal/peer/brbackend/answer.go
@@ -0,0 +1,101 @@
+package brbackend
+
+import (
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/model/brmessage"
+)
+
+const (
+	// FieldShed marks a 503 of a server that refused a request before running
+	// it. Nothing else in an answer says so.
+	FieldShed = "Bergamotroad-Shed"
+	shedValue = "1"
+	ownPrefix = "Bergamotroad-"
+
+	maxShedBody = 4 << 10 // bytes read so that the connection can be used again
+)
+
+// hopByHop are the fields that concern one connection only (RFC 9110, section 7.6.1).
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
+	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// answerOf returns the answer, or the error that stands for it.
+func answerOf(response *http.Response) (*brmessage.Answer, error) {
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		_ = response.Body.Close()
+		return nil, ErrOutcomeUnknown{cause: errors.New("server switched protocols unasked")}
+	}
+	if isShed(response) {
+		return nil, shedOf(response)
+	}
+	body := response.Body
+	if endsWithConnection(response) {
+		body = &unboundedBody{ReadCloser: body}
+	}
+	trailers := func() brmessage.Fields { return endToEnd(response.Trailer) }
+	return brmessage.NewAnswer(response.StatusCode, endToEnd(response.Header), body, trailers), nil
+}
+
+func isShed(response *http.Response) bool {
+	return response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(FieldShed) == shedValue
+}
+
+func shedOf(response *http.Response) ErrShed {
+	_, _ = io.CopyN(io.Discard, response.Body, maxShedBody)
+	_ = response.Body.Close()
+	seconds, err := strconv.ParseUint(response.Header.Get("Retry-After"), 10, 16)
+	if err != nil {
+		return ErrShed{}
+	}
+	return ErrShed{retryAfter: time.Duration(seconds) * time.Second}
+}
+
+// endToEnd returns the fields that are passed on: neither those of one
+// connection nor those by which the system itself speaks.
+func endToEnd(header http.Header) brmessage.Fields {
+	copied := header.Clone()
+	for _, list := range header["Connection"] {
+		for name := range strings.SplitSeq(list, ",") {
+			copied.Del(strings.TrimSpace(name))
+		}
+	}
+	for name := range copied {
+		if slices.Contains(hopByHop, name) || strings.HasPrefix(name, ownPrefix) {
+			copied.Del(name)
+		}
+	}
+	return brmessage.NewFields(copied)
+}
+
+// endsWithConnection reports whether only the end of the connection marks the
+// end of the body, so that a cut can't be told from the end.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 &&
+		response.ProtoMajor == 1 &&
+		response.Body != http.NoBody &&
+		!slices.Contains(response.TransferEncoding, "chunked")
+}
+
+// unboundedBody never ends as a whole one.
+type unboundedBody struct {
+	io.ReadCloser
+}
+
+// Read returns io.ErrUnexpectedEOF at the end.
+func (b *unboundedBody) Read(part []byte) (int, error) {
+	n, err := b.ReadCloser.Read(part)
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
--- a/internal/peer/brbackend/client.go
+++ b/internal/peer/brbackend/client.go
@@ -1,30 +1,32 @@
 // Package brbackend talks to backend servers.
 //
-// A request is sent at most once for each call of Send: the transport's own
-// repetition on a broken connection is switched off, since only the decisions
-// know whether a request may run again.
+// A request is written on at most one connection for each call of Send: the
+// transport sends again by itself only what it has not begun to write, since
+// only the decisions know whether a request may run again.
+//
+// Servers keep to one contract: a 503 with the field Bergamotroad-Shed: 1 says
+// that the request was refused before it ran. No other answer says so.
+//
+// An answer whose end is marked by nothing but the end of its connection is
+// never a whole one, since a cut looks the same.
 //
 // # Usage
 //
-//	backends := brbackend.NewClient(transport)
+//	backends := brbackend.NewClient(brbackend.NewTransport())
 //	answer, err := backends.Send(ctx, server, call)
-//	if brbackend.IsErrNotSent(err) {
-//		// no byte can have reached the server
+//	if brbackend.IsErrNotSent(err) || brbackend.IsErrShed(err) {
+//		// the request did not run
 //	}
 //	defer answer.Close()
 package brbackend
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"bergamotroad.example/bergamotroad/internal/model/brconfig"
 	"bergamotroad.example/bergamotroad/internal/model/brmessage"
 )
@@ -32,8 +34,9 @@
 // Backend sends requests to backend servers.
 type Backend interface {
 	// Send sends a request once and returns the head of the answer. It returns
-	// ErrNotSent if no byte can have reached the server, and ErrOutcomeUnknown
-	// if the server may have run the request.
+	// ErrNotSent if no byte can have reached the server, ErrShed if the server
+	// refused the request before running it, and ErrOutcomeUnknown if the
+	// server may have run the request.
 	Send(ctx context.Context, server brconfig.Server, call brmessage.Call) (*brmessage.Answer, error)
 }
 
@@ -49,16 +52,16 @@
 	transport http.RoundTripper
 }
 
-// NewClient returns a client over a transport.
+// NewClient returns a client over a transport. Only on connections of
+// NewTransport can it prove that nothing was sent.
 func NewClient(transport http.RoundTripper) *Client {
 	return &Client{transport: transport}
 }
 
 // NewTransport returns the transport for backend servers.
 func NewTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            dialCounted(&net.Dialer{Timeout: dialTimeout}),
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    idleConnections,
 		IdleConnTimeout:        idleTimeout,
@@ -68,49 +71,27 @@
 
 // Send sends a request once.
 func (c *Client) Send(ctx context.Context, server brconfig.Server, call brmessage.Call) (*brmessage.Answer, error) {
+	response, err := c.Exchange(ctx, server.Address(), call)
+	if err != nil {
+		return nil, err
+	}
+	return answerOf(response)
+}
+
+// Exchange sends a request once to an address and returns the answer as it
+// came. It returns ErrNotSent or ErrOutcomeUnknown.
+func (c *Client) Exchange(ctx context.Context, address string, call brmessage.Call) (*http.Response, error) {
 	progress := &progress{}
-	request, err := requestOf(httptrace.WithClientTrace(ctx, progress.trace()), server, call)
+	request, err := requestOf(httptrace.WithClientTrace(ctx, progress.trace()), address, call)
 	if err != nil {
 		return nil, ErrNotSent{cause: err}
 	}
 	response, err := c.transport.RoundTrip(request)
-	if err != nil && !progress.connected() {
+	if err != nil && progress.preventSending() {
 		return nil, ErrNotSent{cause: err}
 	}
 	if err != nil {
 		return nil, ErrOutcomeUnknown{cause: err}
 	}
-	trailers := func() brmessage.Fields { return brmessage.NewFields(response.Trailer) }
-	return brmessage.NewAnswer(response.StatusCode, brmessage.NewFields(response.Header), response.Body, trailers), nil
-}
-
-func requestOf(ctx context.Context, server brconfig.Server, call brmessage.Call) (*http.Request, error) {
-	target, err := url.ParseRequestURI(call.Target())
-	if err != nil {
-		return nil, errors.Errorf("parse target: %w", err)
-	}
-	target.Scheme = "http"
-	target.Host = server.Address()
-	request, err := http.NewRequestWithContext(ctx, call.Method(), target.String(), once(call.Body()))
-	if err != nil {
-		return nil, errors.Errorf("make request: %w", err)
-	}
-	for name, values := range call.Fields().All() {
-		request.Header[name] = values
-	}
-	request.ContentLength = call.Size()
-	if host := call.Fields().First("Host"); host != "" {
-		request.Host = host
-		request.Header.Del("Host")
-	}
-	return request, nil
-}
-
-// once hides what a body can do besides being read, so that the transport
-// can't read it a second time.
-func once(body io.Reader) io.Reader {
-	if body == nil {
-		return nil
-	}
-	return struct{ io.Reader }{body}
+	return response, nil
 }
--- /dev/null
+++ b/internal/peer/brbackend/client_test.go
@@ -0,0 +1,127 @@
+package brbackend_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brmessage"
+	"bergamotroad.example/bergamotroad/internal/peer/brbackend"
+	"bergamotroad.example/bergamotroad/internal/standin/brbreaking"
+	_ "bergamotroad.example/bergamotroad/internal/standin/brseed"
+)
+
+var methods = []string{"GET", "HEAD", "OPTIONS", "DELETE", "POST", "PUT"}
+
+func callOf(method, id, body string, keyed bool) brmessage.Call {
+	fields := brmessage.NewFields(nil)
+	fields.Set("X-Request-Id", id)
+	if keyed {
+		fields.Set("Idempotency-Key", id)
+	}
+	if body == "" {
+		return brmessage.NewCall(method, "/entries", fields, nil, 0)
+	}
+	return brmessage.NewCall(method, "/entries", fields, strings.NewReader(body), int64(len(body)))
+}
+
+func serverAt(address string) brconfig.Server {
+	return brconfig.NewServer(brconfig.NewMeta("ledger-1"), "ledger", "este-a", address, 3)
+}
+
+func errOfBody(answer *brmessage.Answer) error {
+	_, err := io.Copy(io.Discard, answer.Body())
+	_ = answer.Close()
+	return err
+}
+
+// Whatever breaks on a kept connection, a request arrives at most once, and
+// "not sent" and "shed" are true.
+func TestRequestArrivesAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		points := []brbreaking.Point{}
+		for range rapid.IntRange(1, 6).Draw(t, "requests") {
+			points = append(points, brbreaking.Point(rapid.IntRange(0, int(brbreaking.Points)-1).Draw(t, "point")))
+		}
+		server, err := brbreaking.Start(points...)
+		require.NoError(t, err)
+		defer server.Close()
+		transport := brbackend.NewTransport()
+		defer transport.CloseIdleConnections()
+		client := brbackend.NewClient(transport)
+		for i := range points {
+			method := rapid.SampledFrom(methods).Draw(t, "method")
+			body := ""
+			if method == "POST" || method == "PUT" {
+				body = rapid.SampledFrom([]string{"", "cylinder 7"}).Draw(t, "body")
+			}
+			id := fmt.Sprint(i)
+			before := server.Begun()
+			answer, err := client.Send(context.Background(), serverAt(server.Address()), callOf(method, id, body, rapid.Bool().Draw(t, "keyed")))
+			if err == nil {
+				err = errOfBody(answer)
+				require.Equal(t, 1, server.Runs(id))
+			}
+			require.LessOrEqual(t, server.Begun()-before, 1, "%s was sent again", method)
+			if brbackend.IsErrNotSent(err) {
+				require.Equal(t, before, server.Begun())
+			}
+			if brbackend.IsErrShed(err) {
+				require.Zero(t, server.Runs(id))
+			}
+		}
+	})
+}
+
+func TestEachBreakHasItsError(t *testing.T) {
+	want := map[brbreaking.Point]func(error) bool{
+		brbreaking.Unread:     brbackend.IsErrOutcomeUnknown,
+		brbreaking.Midrequest: brbackend.IsErrOutcomeUnknown,
+		brbreaking.Unanswered: brbackend.IsErrOutcomeUnknown,
+		brbreaking.Midhead:    brbackend.IsErrOutcomeUnknown,
+		brbreaking.Shed:       brbackend.IsErrShed,
+	}
+	for point, is := range want {
+		server, err := brbreaking.Start(point)
+		require.NoError(t, err)
+		_, err = brbackend.NewClient(brbackend.NewTransport()).Send(t.Context(), serverAt(server.Address()), callOf("POST", "1", "cylinder", false))
+		require.True(t, is(err), "point %d: %v", point, err)
+		server.Close()
+	}
+}
+
+func TestCutAnswerIsNeverWhole(t *testing.T) {
+	for _, point := range []brbreaking.Point{brbreaking.Midbody, brbreaking.Midchunk, brbreaking.Unmarked} {
+		server, err := brbreaking.Start(point)
+		require.NoError(t, err)
+		answer, err := brbackend.NewClient(brbackend.NewTransport()).Send(t.Context(), serverAt(server.Address()), callOf("GET", "1", "", false))
+		require.NoError(t, err)
+		require.ErrorIs(t, errOfBody(answer), io.ErrUnexpectedEOF, "point %d", point)
+		server.Close()
+	}
+}
+
+func TestUnreachableServerIsNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, listener.Close())
+	_, err = brbackend.NewClient(brbackend.NewTransport()).Send(t.Context(), serverAt(listener.Addr().String()), callOf("GET", "1", "", false))
+	require.True(t, brbackend.IsErrNotSent(err))
+}
+
+func TestServerCannotSpeakForTheSystem(t *testing.T) {
+	server, err := brbreaking.Start(brbreaking.Whole)
+	require.NoError(t, err)
+	defer server.Close()
+	answer, err := brbackend.NewClient(brbackend.NewTransport()).Send(t.Context(), serverAt(server.Address()), callOf("GET", "1", "", false))
+	require.NoError(t, err)
+	require.Empty(t, answer.Fields().First("Bergamotroad-Fate"))
+	require.NoError(t, errOfBody(answer))
+}
--- a/internal/peer/brbackend/error.go
+++ b/internal/peer/brbackend/error.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -49,3 +50,26 @@
 	_, ok := errors.Into[ErrOutcomeUnknown](err)
 	return ok
 }
+
+// ErrShed says that a server refused a request before running it.
+type ErrShed struct {
+	retryAfter time.Duration
+}
+
+// NewErrShed returns the error with the time after which the server asks for
+// another try, or 0.
+func NewErrShed(retryAfter time.Duration) ErrShed {
+	return ErrShed{retryAfter: retryAfter}
+}
+
+// Error returns the message.
+func (ErrShed) Error() string { return "server shed the request" }
+
+// RetryAfter returns the time after which the server asks for another try, or 0.
+func (e ErrShed) RetryAfter() time.Duration { return e.retryAfter }
+
+// IsErrShed reports whether err is or wraps ErrShed.
+func IsErrShed(err error) bool {
+	_, ok := errors.Into[ErrShed](err)
+	return ok
+}
--- a/internal/peer/brbackend/progress.go
+++ b/internal/peer/brbackend/progress.go
@@ -2,21 +2,46 @@
 
 import (
 	"net/http/httptrace"
-	"sync/atomic"
+	"sync"
 )
 
-// progress remembers how far a request came.
+// progress remembers on which connections a request may have been written.
 type progress struct {
-	gotConnection atomic.Bool
+	mutex  sync.Mutex
+	grants []grant
+	opaque bool
+}
+
+// grant is a connection that was given to the request, and what had been
+// written on it before.
+type grant struct {
+	connection *connection
+	before     int64 // bytes
 }
 
 func (p *progress) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { p.gotConnection.Store(true) },
+	return &httptrace.ClientTrace{GotConn: p.gotConnection}
+}
+
+func (p *progress) gotConnection(info httptrace.GotConnInfo) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	counted, ok := info.Conn.(*connection)
+	if !ok {
+		p.opaque = true
+		return
 	}
+	p.grants = append(p.grants, grant{connection: counted, before: counted.written()})
 }
 
-// connected reports whether bytes of the request may have been sent.
-func (p *progress) connected() bool {
-	return p.gotConnection.Load()
+// preventSending reports whether no byte of the request was written, and makes
+// certain that none will be.
+func (p *progress) preventSending() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	prevented := !p.opaque
+	for _, g := range p.grants {
+		prevented = g.connection.seal(g.before) && prevented
+	}
+	return prevented
 }
