Give each request one fate across retries, domains and poison

Cause: a failed attempt ended the request at once, nothing left the failure domain, and a request that kills servers could do so again and again.

Change: the dispatcher tries again only where decide/brretry allows it, within a budget for each route; what its domain can't place goes once to an entry VM of another one, over net/http on the peers' front, where the answer's fate comes back; decide/brpoison refuses what was running at the deaths of two servers, and lets only one suspect run at a time so that innocents are told apart. Small bodies are read before the request is placed; larger ones are streamed and make a retry impossible once a byte was read. Callers can't send the system's own fields; upgrades, CONNECT and TRACE are refused.

--- /dev/null
+++ b/internal/decide/brforward/chooser.go
@@ -0,0 +1,114 @@
+// Package brforward decides which entry VM of another failure domain gets a
+// request that this domain can't place.
+//
+// Domains of the same region come first, then others by the delay of the link.
+// What this VM has seen itself counts: a VM that could not be reached, or a
+// domain that refused, is left out for a while that doubles with each failure.
+//
+// # Usage
+//
+//	chooser := brforward.NewChooser("montevideo-a")
+//	chooser.Update(snapshot)
+//	target, ok := chooser.Next(now, "lookup", nil).Get()
+//	chooser.Report(now, target, brrequest.OutcomeAnswered)
+package brforward
+
+import (
+	"slices"
+	"time"
+
+	"bergamotroad.example/bergamotroad/internal/core/broption"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+)
+
+const (
+	firstPause   = 500 * time.Millisecond // after a VM could not be reached
+	longestPause = 30 * time.Second
+	firstEasing  = 100 * time.Millisecond // after a domain refused
+	longestEase  = 2 * time.Second
+)
+
+// Chooser knows the entry VMs of the other failure domains. It has one owner.
+type Chooser struct {
+	domain       string
+	destinations map[string][]destination // by service
+	pauses       map[string]pause         // by VM
+	easings      map[string]pause         // by domain
+	turn         int
+}
+
+// pause is a time for which something is left out.
+type pause struct {
+	until  time.Time
+	length time.Duration
+}
+
+// NewChooser returns a chooser for a VM of a failure domain.
+func NewChooser(domain string) *Chooser {
+	return &Chooser{domain: domain, pauses: map[string]pause{}, easings: map[string]pause{}}
+}
+
+// Update takes a new configuration.
+func (c *Chooser) Update(snapshot *brconfig.Snapshot) {
+	c.destinations = destinationsOf(snapshot, c.domain)
+	for name := range c.pauses {
+		if !snapshot.VMs().Get(name).IsPresent() {
+			delete(c.pauses, name)
+		}
+	}
+	for name := range c.easings {
+		if !snapshot.Domains().Get(name).IsPresent() {
+			delete(c.easings, name)
+		}
+	}
+}
+
+// Next returns the best VM for a service in none of the tried domains.
+func (c *Chooser) Next(now time.Time, service string, tried []string) broption.Option[brrequest.Target] {
+	c.turn++
+	for _, d := range c.destinations[service] {
+		if slices.Contains(tried, d.domain) || c.easings[d.domain].until.After(now) {
+			continue
+		}
+		if target, ok := c.vmOf(now, d).Get(); ok {
+			return broption.Some(target)
+		}
+	}
+	return broption.None[brrequest.Target]()
+}
+
+// vmOf returns the VM of a domain whose turn it is, of those that are not paused.
+func (c *Chooser) vmOf(now time.Time, d destination) broption.Option[brrequest.Target] {
+	for i := range d.targets {
+		target := d.targets[(c.turn+i)%len(d.targets)]
+		if !c.pauses[target.VM()].until.After(now) {
+			return broption.Some(target)
+		}
+	}
+	return broption.None[brrequest.Target]()
+}
+
+// Report takes how a request at a VM ended.
+func (c *Chooser) Report(now time.Time, target brrequest.Target, kind brrequest.OutcomeKind) {
+	switch kind {
+	case brrequest.OutcomeNotSent, brrequest.OutcomeBroken:
+		c.pauses[target.VM()] = c.pauses[target.VM()].longer(now, firstPause, longestPause)
+	case brrequest.OutcomeShed:
+		c.easings[target.Domain()] = c.easings[target.Domain()].longer(now, firstEasing, longestEase)
+	case brrequest.OutcomeAnswered, brrequest.OutcomeFault:
+		delete(c.pauses, target.VM())
+		delete(c.easings, target.Domain())
+	case brrequest.OutcomeCancelled:
+	}
+}
+
+// longer returns the next pause. Failures within a pause are of one cause and
+// don't make it longer.
+func (p pause) longer(now time.Time, first, longest time.Duration) pause {
+	if p.until.After(now) {
+		return p
+	}
+	length := min(max(2*p.length, first), longest)
+	return pause{until: now.Add(length), length: length}
+}
--- /dev/null
+++ b/internal/decide/brforward/destination.go
@@ -0,0 +1,86 @@
+package brforward
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+)
+
+// unlinkedDelay is the delay to a region without a link: it comes last.
+const unlinkedDelay = time.Duration(math.MaxInt64)
+
+// destination is a failure domain that runs a service.
+type destination struct {
+	domain  string
+	delay   time.Duration
+	targets []brrequest.Target
+}
+
+// destinationsOf returns, for each service, the domains other than the own one
+// that have serving servers and an entry VM, nearest first.
+func destinationsOf(snapshot *brconfig.Snapshot, own string) map[string][]destination {
+	targets := targetsOf(snapshot)
+	delays := delaysFrom(snapshot, own)
+	destinations := map[string][]destination{}
+	seen := map[[2]string]bool{}
+	for s := range snapshot.Servers().All() {
+		key := [2]string{s.Service(), s.Domain()}
+		if s.Domain() == own || s.State() != brconfig.ServerServing || seen[key] || len(targets[s.Domain()]) == 0 {
+			continue
+		}
+		seen[key] = true
+		destinations[s.Service()] = append(destinations[s.Service()], destination{
+			domain:  s.Domain(),
+			delay:   delays(s.Domain()),
+			targets: targets[s.Domain()],
+		})
+	}
+	for _, list := range destinations {
+		slices.SortFunc(list, func(a, b destination) int {
+			return cmp.Or(cmp.Compare(a.delay, b.delay), cmp.Compare(a.domain, b.domain))
+		})
+	}
+	return destinations
+}
+
+func targetsOf(snapshot *brconfig.Snapshot) map[string][]brrequest.Target {
+	targets := map[string][]brrequest.Target{}
+	for v := range snapshot.VMs().All() {
+		site, ok := snapshot.Sites().Get(v.Site()).Get()
+		if !ok {
+			continue
+		}
+		targets[site.Domain()] = append(targets[site.Domain()], brrequest.NewTarget(site.Domain(), v.Name(), v.PeerAddress()))
+	}
+	return targets
+}
+
+// delaysFrom returns the delay from the own domain to others: none within the region.
+func delaysFrom(snapshot *brconfig.Snapshot, own string) func(domain string) time.Duration {
+	region := regionOf(snapshot, own)
+	byRegion := map[string]time.Duration{}
+	for l := range snapshot.Links().All() {
+		if l.From() == region {
+			byRegion[l.To()] = l.Delay()
+		}
+	}
+	return func(domain string) time.Duration {
+		other := regionOf(snapshot, domain)
+		if other == region {
+			return 0
+		}
+		if delay, ok := byRegion[other]; ok {
+			return delay
+		}
+		return unlinkedDelay
+	}
+}
+
+func regionOf(snapshot *brconfig.Snapshot, domain string) string {
+	d, _ := snapshot.Domains().Get(domain).Get()
+	return d.Region()
+}
--- /dev/null
+++ b/internal/decide/brretry/retry_test.go
@@ -0,0 +1,45 @@
+package brretry_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"bergamotroad.example/bergamotroad/internal/decide/brretry"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+	_ "bergamotroad.example/bergamotroad/internal/standin/brseed"
+)
+
+// However many requests fail, retries stay below a tenth of them beyond the
+// tokens that a quiet route has saved.
+func TestBudgetBoundsRetries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		budget := brretry.NewBudget()
+		requests := rapid.IntRange(0, 500).Draw(t, "requests")
+		retries := 0
+		for range requests {
+			budget.Earn("a")
+			for range rapid.IntRange(0, 3).Draw(t, "tries") {
+				if budget.Spend("a") {
+					retries++
+				}
+			}
+		}
+		require.LessOrEqual(t, 100*retries, 8*requests+300)
+	})
+}
+
+func TestOnceIsSentAgainOnlyIfItDidNotRun(t *testing.T) {
+	require.True(t, brretry.Allowed(brconfig.RepeatOnce, brrequest.FateNotRun))
+	require.False(t, brretry.Allowed(brconfig.RepeatOnce, brrequest.FateUnknown))
+	require.True(t, brretry.Allowed(brconfig.RepeatAny, brrequest.FateUnknown))
+	require.False(t, brretry.Allowed(brconfig.RepeatAny, brrequest.FateRan))
+}
+
+func TestUnknownStaysUnknown(t *testing.T) {
+	require.Equal(t, brrequest.FateUnknown, brretry.Combine(brrequest.FateUnknown, brrequest.FateNotRun))
+	require.Equal(t, brrequest.FateRan, brretry.Combine(brrequest.FateUnknown, brrequest.FateRan))
+	require.Equal(t, brrequest.FateNotRun, brretry.Combine(brrequest.FateNotRun, brrequest.FateNotRun))
+}
--- /dev/null
+++ b/internal/duty/brtelling/duty.go
@@ -0,0 +1,110 @@
+// Package brtelling provides the duty that tells other VMs of poison requests.
+//
+// It tells the VMs of its failure domain, and one VM of each other domain,
+// which tells those of its own.
+//
+// # Usage
+//
+//	telling := brtelling.New("vm-1", "montevideo-a", clock, entry)
+//	group.Start(telling.Duty())
+//	telling.Tell(notice)
+package brtelling
+
+import (
+	"context"
+	"time"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/core/brduty"
+	"bergamotroad.example/bergamotroad/internal/core/brring"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+)
+
+const (
+	queueCapacity = 256 // notices
+	tellTimeout   = 500 * time.Millisecond
+)
+
+// Entry reaches other entry VMs.
+type Entry interface {
+	// TellPoison gives a notice to the VM at an address, host:port.
+	TellPoison(ctx context.Context, address string, notice brrequest.PoisonNotice) error
+}
+
+// Telling is the duty with the call that reaches it.
+type Telling struct {
+	duty *brduty.Duty[brrequest.PoisonNotice, *brconfig.Snapshot]
+}
+
+// New returns the duty for a VM of a failure domain.
+func New(vm, domain string, clock brclock.Clock, entry Entry) *Telling {
+	h := &handler{vm: vm, domain: domain, entry: entry}
+	return &Telling{duty: brduty.New("telling", h, clock, brduty.WithCapacity(queueCapacity))}
+}
+
+// Duty returns the duty to be started.
+func (t *Telling) Duty() brduty.Runner { return t.duty }
+
+// Snapshots returns the ring that takes the configuration.
+func (t *Telling) Snapshots() *brring.Latest[*brconfig.Snapshot] { return t.duty.Snapshots() }
+
+// Tell passes a notice on without waiting.
+func (t *Telling) Tell(notice brrequest.PoisonNotice) {
+	_ = t.duty.Queue().Send(notice)
+}
+
+type handler struct {
+	vm     string
+	domain string
+	entry  Entry
+	near   []string            // addresses of the domain's other VMs
+	far    map[string][]string // addresses of the VMs of other domains
+}
+
+// Handle tells one notice.
+func (h *handler) Handle(ctx context.Context, notice brrequest.PoisonNotice) {
+	for _, address := range h.near {
+		h.tell(ctx, address, notice.WithRelayed(false))
+	}
+	if notice.Relayed() {
+		return
+	}
+	for _, addresses := range h.far {
+		h.tellOne(ctx, addresses, notice.WithRelayed(true))
+	}
+}
+
+// tellOne tells the first VM that answers.
+func (h *handler) tellOne(ctx context.Context, addresses []string, notice brrequest.PoisonNotice) {
+	for _, address := range addresses {
+		if h.tell(ctx, address, notice) {
+			return
+		}
+	}
+}
+
+func (h *handler) tell(ctx context.Context, address string, notice brrequest.PoisonNotice) bool {
+	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
+	defer cancel()
+	return h.entry.TellPoison(ctx, address, notice) == nil
+}
+
+// Update takes the VMs of a new configuration.
+func (h *handler) Update(_ context.Context, snapshot *brconfig.Snapshot) {
+	h.near = nil
+	h.far = map[string][]string{}
+	for v := range snapshot.VMs().All() {
+		site, ok := snapshot.Sites().Get(v.Site()).Get()
+		switch {
+		case !ok || v.Name() == h.vm:
+		case site.Domain() == h.domain:
+			h.near = append(h.near, v.PeerAddress())
+		default:
+			h.far[site.Domain()] = append(h.far[site.Domain()], v.PeerAddress())
+		}
+	}
+}
+
+// Tick does nothing.
+func (*handler) Tick(context.Context, time.Time) {}
--- a/internal/model/brrequest/fate.go
+++ b/internal/model/brrequest/fate.go
@@ -38,6 +38,8 @@
 	ReasonBodyTooLarge    Reason = "body-too-large"
 	ReasonServerFailed    Reason = "server-failed"
 	ReasonCallerGone      Reason = "caller-gone"
+	ReasonPoison          Reason = "poison"
+	ReasonPoisonSuspect   Reason = "poison-suspect"
 )
 
 // Verdict is the answer of admission to a request.
--- a/internal/peer/brbackend/answer.go
+++ b/internal/peer/brbackend/answer.go
@@ -38,12 +38,17 @@
 	if isShed(response) {
 		return nil, shedOf(response)
 	}
+	return NewAnswer(response), nil
+}
+
+// NewAnswer returns what is passed on of an answer.
+func NewAnswer(response *http.Response) *brmessage.Answer {
 	body := response.Body
 	if endsWithConnection(response) {
 		body = &unboundedBody{ReadCloser: body}
 	}
 	trailers := func() brmessage.Fields { return endToEnd(response.Trailer) }
-	return brmessage.NewAnswer(response.StatusCode, endToEnd(response.Header), body, trailers), nil
+	return brmessage.NewAnswer(response.StatusCode, endToEnd(response.Header), body, trailers)
 }
 
 func isShed(response *http.Response) bool {
--- a/internal/peer/brcaller/answer.go
+++ b/internal/peer/brcaller/answer.go
@@ -7,45 +7,10 @@
 	"strconv"
 	"time"
 
-	"bergamotroad.example/bergamotroad/internal/model/brmessage"
 	"bergamotroad.example/bergamotroad/internal/model/brrequest"
 	"bergamotroad.example/bergamotroad/internal/service/brdispatch"
 )
 
-// answerWriter writes a backend server's answer to the caller.
-type answerWriter struct {
-	response http.ResponseWriter
-	id       string
-}
-
-// WriteHead writes status and fields.
-func (w *answerWriter) WriteHead(status int, fields brmessage.Fields) error {
-	header := w.response.Header()
-	for name, values := range fields.All() {
-		header[name] = values
-	}
-	for _, name := range hopByHop {
-		header.Del(name)
-	}
-	header.Set(FieldFate, string(brrequest.FateRan))
-	header.Set(FieldRequestID, w.id)
-	w.response.WriteHeader(status)
-	return nil
-}
-
-// Write writes a part of the body.
-func (w *answerWriter) Write(part []byte) (int, error) {
-	return w.response.Write(part)
-}
-
-// WriteTrailers writes the trailers of a whole answer.
-func (w *answerWriter) WriteTrailers(fields brmessage.Fields) error {
-	for name, values := range fields.All() {
-		w.response.Header()[http.TrailerPrefix+name] = values
-	}
-	return nil
-}
-
 // problem is an error document (RFC 9457).
 type problem struct {
 	Title   string `json:"title"`
@@ -86,6 +51,8 @@
 		return http.StatusNotFound
 	case brrequest.ReasonOverRate:
 		return http.StatusTooManyRequests
+	case brrequest.ReasonPoison:
+		return http.StatusUnprocessableEntity
 	case brrequest.ReasonBodyTooLarge:
 		return http.StatusRequestEntityTooLarge
 	case brrequest.ReasonServerFailed:
--- a/internal/peer/brcaller/handler.go
+++ b/internal/peer/brcaller/handler.go
@@ -58,6 +58,12 @@
 		h.own.ServeHTTP(w, r)
 		return
 	}
+	if isUnsupported(r) {
+		refuseUnsupported(w)
+		return
+	}
+	// An answer may begin before the whole request has come. HTTP/2 always allows it.
+	_ = http.NewResponseController(w).EnableFullDuplex()
 	request, call := h.decode(r)
 	result := h.dispatcher.Dispatch(r.Context(), request, call, &answerWriter{response: w, id: request.ID()})
 	if !result.Started() {
--- a/internal/peer/brcaller/request.go
+++ b/internal/peer/brcaller/request.go
@@ -14,6 +14,7 @@
 import (
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -36,7 +37,11 @@
 	FieldRequestID = "X-Request-Id"
 )
 
-const bearerPrefix = "Bearer "
+const (
+	bearerPrefix = "Bearer "
+	// ownPrefix begins the names of the system's own fields.
+	ownPrefix = "Bergamotroad-"
+)
 
 // decode returns what decisions need of a request and what is passed on.
 func (h *Handler) decode(r *http.Request) (brrequest.Request, brmessage.Call) {
@@ -47,6 +52,7 @@
 		WithDeadline(h.deadlineOf(r))
 	fields := endToEnd(r.Header)
 	fields.Remove("Authorization")
+	fields.Remove("Expect")
 	fields.Set(FieldRequestID, id)
 	fields.Set("Host", r.Host)
 	call := brmessage.NewCall(r.Method, r.URL.RequestURI(), fields, r.Body, r.ContentLength)
@@ -91,8 +97,11 @@
 			copied.Del(strings.TrimSpace(name))
 		}
 	}
-	for _, name := range hopByHop {
-		copied.Del(name)
+	for name := range copied {
+		// Callers can't speak for the system.
+		if slices.Contains(hopByHop, name) || strings.HasPrefix(name, ownPrefix) {
+			copied.Del(name)
+		}
 	}
 	return brmessage.NewFields(copied)
 }
--- /dev/null
+++ b/internal/peer/brcaller/unsupported.go
@@ -0,0 +1,27 @@
+package brcaller
+
+import (
+	"net/http"
+	"strings"
+
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+)
+
+// reasonUnsupported tells the caller that the system carries no such requests.
+const reasonUnsupported = "not-supported"
+
+// isUnsupported reports whether a request asks for a tunnel, another protocol
+// or its own echo. An offer of HTTP/2 may be left unanswered.
+func isUnsupported(r *http.Request) bool {
+	if r.Method == http.MethodConnect || r.Method == http.MethodTrace {
+		return true
+	}
+	upgrade := r.Header.Get("Upgrade")
+	return upgrade != "" && !strings.EqualFold(upgrade, "h2c")
+}
+
+func refuseUnsupported(w http.ResponseWriter) {
+	w.Header().Set(FieldFate, string(brrequest.FateNotRun))
+	w.Header().Set(FieldReason, reasonUnsupported)
+	w.WriteHeader(http.StatusNotImplemented)
+}
--- /dev/null
+++ b/internal/peer/brentry/forward.go
@@ -0,0 +1,181 @@
+package brentry
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brmessage"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+	"bergamotroad.example/bergamotroad/internal/peer/brbackend"
+	"bergamotroad.example/bergamotroad/internal/service/brdispatch"
+)
+
+// forwardPrefix precedes the target of a forwarded request. Bodies stream,
+// which twirp does not do, so that forwarding is plain HTTP beside it.
+const forwardPrefix = "/forward"
+
+// Header fields between entry VMs.
+const (
+	ownPrefix         = "Bergamotroad-"
+	fieldFate         = ownPrefix + "Fate"
+	fieldReason       = ownPrefix + "Reason"
+	fieldTimeout      = ownPrefix + "Timeout"
+	fieldRequest      = ownPrefix + "Request"
+	fieldOrganisation = ownPrefix + "Organisation"
+	fieldWeight       = ownPrefix + "Weight"
+	fieldRoute        = ownPrefix + "Route"
+	fieldService      = ownPrefix + "Service"
+	fieldRepeat       = ownPrefix + "Repeat"
+	fieldRouteTimeout = ownPrefix + "Route-Timeout"
+	fieldGeneration   = ownPrefix + "Generation"
+)
+
+// Forwarder sends requests to other entry VMs.
+type Forwarder struct {
+	client *brbackend.Client
+}
+
+// NewForwarder returns a forwarder over a client.
+func NewForwarder(client *brbackend.Client) *Forwarder {
+	return &Forwarder{client: client}
+}
+
+// Forward sends a request once. It returns brdispatch.ErrRefused where the
+// other VM says that the request did not run, brbackend.ErrNotSent where no
+// byte can have reached it, and brbackend.ErrOutcomeUnknown otherwise.
+func (f *Forwarder) Forward(ctx context.Context, target brrequest.Target, request brrequest.Request, verdict brrequest.Verdict, call brmessage.Call) (*brmessage.Answer, error) {
+	response, err := f.client.Exchange(ctx, target.Address(), forwardedCall(request, verdict, call))
+	if err != nil {
+		return nil, errors.Errorf("forward to %s: %w", target.VM(), err)
+	}
+	switch brrequest.Fate(response.Header.Get(fieldFate)) {
+	case brrequest.FateRan:
+		return brbackend.NewAnswer(response), nil
+	case brrequest.FateNotRun:
+		_ = response.Body.Close()
+		return nil, brdispatch.NewErrRefused(brrequest.Reason(response.Header.Get(fieldReason)), secondsOf(response.Header.Get("Retry-After")))
+	default:
+		_ = response.Body.Close()
+		return nil, brbackend.NewErrOutcomeUnknown(errors.Errorf("%s answered %d without a fate", target.VM(), response.StatusCode))
+	}
+}
+
+func forwardedCall(request brrequest.Request, verdict brrequest.Verdict, call brmessage.Call) brmessage.Call {
+	fields := call.Fields()
+	route := verdict.Route()
+	fields.Set(fieldRequest, request.ID())
+	fields.Set(fieldOrganisation, verdict.Organisation())
+	fields.Set(fieldWeight, strconv.Itoa(verdict.Weight()))
+	fields.Set(fieldRoute, route.Name())
+	fields.Set(fieldService, route.Service())
+	fields.Set(fieldRepeat, string(route.Repeat()))
+	fields.Set(fieldRouteTimeout, route.Timeout().String())
+	fields.Set(fieldGeneration, strconv.FormatUint(verdict.Generation(), 10))
+	return brmessage.NewCall(call.Method(), forwardPrefix+call.Target(), fields, call.Body(), call.Size())
+}
+
+// Receiver places requests that other VMs have admitted.
+type Receiver interface {
+	// Receive carries a request to a server of this failure domain.
+	Receive(ctx context.Context, request brrequest.Request, verdict brrequest.Verdict, call brmessage.Call, writer brdispatch.Writer) brdispatch.Result
+}
+
+type forwardServer struct {
+	clock    brclock.Clock
+	receiver Receiver
+}
+
+// WithForwarding returns the peers' front that also takes forwarded requests.
+func WithForwarding(next http.Handler, clock brclock.Clock, receiver Receiver) http.Handler {
+	s := &forwardServer{clock: clock, receiver: receiver}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, forwardPrefix+"/") {
+			s.serve(w, r)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *forwardServer) serve(w http.ResponseWriter, r *http.Request) {
+	_ = http.NewResponseController(w).EnableFullDuplex()
+	request, verdict, err := s.decode(r)
+	if err != nil {
+		w.Header().Set(fieldFate, string(brrequest.FateNotRun))
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	result := s.receiver.Receive(r.Context(), request, verdict, callOf(r), &forwardWriter{response: w})
+	if !result.Started() {
+		writeRefusal(w, result)
+		return
+	}
+	if !result.Whole() {
+		// A cut connection tells the other VM that the answer is not whole.
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *forwardServer) decode(r *http.Request) (brrequest.Request, brrequest.Verdict, error) {
+	weight, err := strconv.Atoi(r.Header.Get(fieldWeight))
+	if err != nil {
+		return brrequest.Request{}, brrequest.Verdict{}, errors.Errorf("read weight: %w", err)
+	}
+	timeout, err := time.ParseDuration(r.Header.Get(fieldRouteTimeout))
+	if err != nil {
+		return brrequest.Request{}, brrequest.Verdict{}, errors.Errorf("read timeout of route: %w", err)
+	}
+	milliseconds, err := strconv.ParseUint(r.Header.Get(fieldTimeout), 10, 31)
+	if err != nil {
+		return brrequest.Request{}, brrequest.Verdict{}, errors.Errorf("read timeout of request: %w", err)
+	}
+	generation, err := strconv.ParseUint(r.Header.Get(fieldGeneration), 10, 64)
+	if err != nil {
+		return brrequest.Request{}, brrequest.Verdict{}, errors.Errorf("read generation: %w", err)
+	}
+	request := brrequest.New(r.Header.Get(fieldRequest), r.Method, strings.TrimPrefix(r.URL.Path, forwardPrefix), netip.Addr{}).
+		WithSize(r.ContentLength).
+		WithDeadline(s.clock.Now().Add(time.Duration(milliseconds) * time.Millisecond))
+	route := brconfig.NewRoute(brconfig.NewMeta(r.Header.Get(fieldRoute)), r.Header.Get(fieldService), "").
+		WithRepeat(brconfig.Repeat(r.Header.Get(fieldRepeat))).
+		WithTimeout(timeout)
+	return request, brrequest.Admit(r.Header.Get(fieldOrganisation), route, generation).WithWeight(weight), nil
+}
+
+// callOf returns what is passed on to a server: nothing of what VMs tell each other.
+func callOf(r *http.Request) brmessage.Call {
+	fields := r.Header.Clone()
+	for name := range fields {
+		if strings.HasPrefix(name, ownPrefix) {
+			fields.Del(name)
+		}
+	}
+	fields.Set("Host", r.Host)
+	target := strings.TrimPrefix(r.URL.RequestURI(), forwardPrefix)
+	return brmessage.NewCall(r.Method, target, brmessage.NewFields(fields), r.Body, r.ContentLength)
+}
+
+func writeRefusal(w http.ResponseWriter, result brdispatch.Result) {
+	w.Header().Set(fieldFate, string(result.Fate()))
+	w.Header().Set(fieldReason, string(result.Reason()))
+	if result.RetryAfter() > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int((result.RetryAfter() + time.Second - 1).Seconds())))
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func secondsOf(text string) time.Duration {
+	seconds, err := strconv.ParseUint(text, 10, 16)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
--- /dev/null
+++ b/internal/peer/brentry/forwardwriter.go
@@ -0,0 +1,50 @@
+package brentry
+
+import (
+	"net/http"
+
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/model/brmessage"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+)
+
+// forwardWriter writes a server's answer to the VM that forwarded the request.
+type forwardWriter struct {
+	response http.ResponseWriter
+}
+
+// WriteHead writes status and fields.
+func (w *forwardWriter) WriteHead(status int, fields brmessage.Fields) error {
+	header := w.response.Header()
+	for name, values := range fields.All() {
+		header[name] = values
+	}
+	header.Set(fieldFate, string(brrequest.FateRan))
+	w.response.WriteHeader(status)
+	return w.flush()
+}
+
+// Write writes a part of the body and sends it at once.
+func (w *forwardWriter) Write(part []byte) (int, error) {
+	n, err := w.response.Write(part)
+	if err != nil {
+		return n, errors.Errorf("write answer to VM: %w", err)
+	}
+	return n, w.flush()
+}
+
+// WriteTrailers writes the trailers of a whole answer.
+func (w *forwardWriter) WriteTrailers(fields brmessage.Fields) error {
+	for name, values := range fields.All() {
+		w.response.Header()[http.TrailerPrefix+name] = values
+	}
+	return nil
+}
+
+func (w *forwardWriter) flush() error {
+	if err := http.NewResponseController(w.response).Flush(); err != nil {
+		return errors.Errorf("flush answer to VM: %w", err)
+	}
+	return nil
+}
--- a/internal/service/brdispatch/dispatcher.go
+++ b/internal/service/brdispatch/dispatcher.go
@@ -1,13 +1,17 @@
 // Package brdispatch carries one request from its caller to a backend server
 // and the answer back, on the goroutine that the caller's front end gave it.
 //
+// Each request ends with one fate. It is sent again only where the decisions
+// allow it; where the own failure domain has no server for it, an entry VM of
+// another one gets it, once.
+//
 // The front end is known by two interfaces only, so that another one can use
 // the same code: it gives a Request for the decisions, a Call to pass on, and a
 // Writer for the answer.
 //
 // # Usage
 //
-//	dispatcher := brdispatch.New(clock, admission, balancing, backend, timeline)
+//	dispatcher := brdispatch.New(clock, admission, balancing, retrying, forwarding, poisoning, backend, entry, timeline)
 //	result := dispatcher.Dispatch(ctx, request, call, writer)
 //	if !result.Started() {
 //		// write a refusal with result.Reason() and result.Fate()
@@ -16,10 +20,9 @@
 
 import (
 	"context"
-	"strconv"
-	"time"
 
 	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/decide/brpoison"
 	"bergamotroad.example/bergamotroad/internal/model/brconfig"
 	"bergamotroad.example/bergamotroad/internal/model/brevent"
 	"bergamotroad.example/bergamotroad/internal/model/brmessage"
@@ -27,9 +30,6 @@
 	"bergamotroad.example/bergamotroad/internal/peer/brbackend"
 )
 
-// firstFaultStatus is the least status by which a server reports a fault of its own.
-const firstFaultStatus = 500
-
 // Admission decides whether a request may run.
 type Admission interface {
 	// Admit returns the verdict on a request.
@@ -44,6 +44,48 @@
 	Release(outcome brrequest.Outcome)
 }
 
+// Retrying owns the budgets for retries.
+type Retrying interface {
+	// Earn credits a route for a request.
+	Earn(route string)
+	// Spend reports whether the budget of a route allows one more retry.
+	Spend(ctx context.Context, route string) bool
+}
+
+// Forwarding chooses among the entry VMs of other failure domains.
+type Forwarding interface {
+	// Next returns the best VM for a service in none of the tried domains.
+	Next(ctx context.Context, service string, tried []string) (brrequest.Target, bool)
+	// Report tells how a request at a VM ended.
+	Report(target brrequest.Target, kind brrequest.OutcomeKind)
+}
+
+// Poisoning knows the requests that kill servers.
+type Poisoning interface {
+	// Begin returns whether a request may run now.
+	Begin(ctx context.Context, fingerprint brrequest.Fingerprint) brpoison.Verdict
+	// Ran tells that a server ran a request to its end.
+	Ran(fingerprint brrequest.Fingerprint)
+	// Ended tells that a request ended in a way that says nothing of it.
+	Ended(fingerprint brrequest.Fingerprint)
+	// Killed tells that a server died while it ran a request.
+	Killed(fingerprint brrequest.Fingerprint, server string)
+}
+
+// Backend sends requests to backend servers.
+type Backend interface {
+	brbackend.Backend
+	// IsDead reports whether a server refuses new connections.
+	IsDead(ctx context.Context, server brconfig.Server) bool
+}
+
+// Entry sends requests to other entry VMs.
+type Entry interface {
+	// Forward sends a request once. Beyond the errors of a Backend it returns
+	// ErrRefused if the other VM refused it.
+	Forward(ctx context.Context, target brrequest.Target, request brrequest.Request, verdict brrequest.Verdict, call brmessage.Call) (*brmessage.Answer, error)
+}
+
 // Writer takes an answer.
 type Writer interface {
 	// WriteHead starts the answer. It is called once.
@@ -56,136 +98,58 @@
 
 // Dispatcher carries requests.
 type Dispatcher struct {
-	clock     brclock.Clock
-	admission Admission
-	balancing Balancing
-	backend   brbackend.Backend
-	events    brevent.Recorder
+	clock      brclock.Clock
+	admission  Admission
+	balancing  Balancing
+	retrying   Retrying
+	forwarding Forwarding
+	poisoning  Poisoning
+	backend    Backend
+	entry      Entry
+	events     brevent.Recorder
 }
 
 // New returns a dispatcher.
-func New(clock brclock.Clock, admission Admission, balancing Balancing, backend brbackend.Backend, events brevent.Recorder) *Dispatcher {
-	return &Dispatcher{clock: clock, admission: admission, balancing: balancing, backend: backend, events: events}
-}
-
-// Result says what became of a request.
-type Result struct {
-	fate         brrequest.Fate
-	reason       brrequest.Reason
-	retryAfter   time.Duration
-	organisation string
-	started      bool
-	whole        bool
+func New(clock brclock.Clock, admission Admission, balancing Balancing, retrying Retrying, forwarding Forwarding, poisoning Poisoning, backend Backend, entry Entry, events brevent.Recorder) *Dispatcher {
+	return &Dispatcher{
+		clock:      clock,
+		admission:  admission,
+		balancing:  balancing,
+		retrying:   retrying,
+		forwarding: forwarding,
+		poisoning:  poisoning,
+		backend:    backend,
+		entry:      entry,
+		events:     events,
+	}
 }
 
-// Fate returns whether the request ran.
-func (r Result) Fate() brrequest.Fate { return r.fate }
-
-// Reason returns why the request was refused or failed, or none as "".
-func (r Result) Reason() brrequest.Reason { return r.reason }
-
-// RetryAfter returns the time after which another try makes sense, or 0.
-func (r Result) RetryAfter() time.Duration { return r.retryAfter }
-
-// Organisation returns the organisation whose key came with the request.
-func (r Result) Organisation() string { return r.organisation }
-
-// Started reports whether the head of an answer was written.
-func (r Result) Started() bool { return r.started }
-
-// Whole reports whether the whole answer was written.
-func (r Result) Whole() bool { return r.whole }
-
-// Dispatch carries a request. It writes nothing where the request was refused
-// or failed before an answer began.
+// Dispatch carries a caller's request. It writes nothing where the request was
+// refused or failed before an answer began.
 func (d *Dispatcher) Dispatch(ctx context.Context, request brrequest.Request, call brmessage.Call, writer Writer) Result {
 	verdict, err := d.admission.Admit(ctx, request)
 	if err != nil {
-		return d.refused(request, brrequest.Refuse(brrequest.ReasonOverloaded, "", 0))
-	}
-	if !verdict.Admitted() {
-		return d.refused(request, verdict)
-	}
-	d.record(brevent.KindRequestAdmitted, request, verdict)
-	ctx, cancel := context.WithTimeout(ctx, d.patience(request, verdict))
-	defer cancel()
-	server, err := d.balancing.Pick(ctx, placementOf(ctx, verdict))
-	if err != nil {
-		return d.refused(request, brrequest.Refuse(brrequest.ReasonNoServer, verdict.Organisation(), time.Second))
-	}
-	return d.exchange(ctx, request, verdict, server, call, writer)
-}
-
-func (d *Dispatcher) exchange(ctx context.Context, request brrequest.Request, verdict brrequest.Verdict, server brconfig.Server, call brmessage.Call, writer Writer) Result {
-	d.events.Record(brevent.New(brevent.KindRequestSent).
-		WithRequest(request.ID()).
-		WithOrganisation(verdict.Organisation()).
-		WithResource(server.Name()))
-	sent := d.clock.Now()
-	answer, err := d.backend.Send(ctx, server, call)
-	latency := d.clock.Now().Sub(sent)
-	if brbackend.IsErrNotSent(err) {
-		d.balancing.Release(brrequest.NewOutcome(server.Name(), brrequest.OutcomeNotSent, latency))
-		return d.refused(request, brrequest.Refuse(brrequest.ReasonServerFailed, verdict.Organisation(), time.Second))
-	}
-	if err != nil {
-		d.balancing.Release(brrequest.NewOutcome(server.Name(), brrequest.OutcomeBroken, latency))
-		return Result{fate: brrequest.FateUnknown, reason: brrequest.ReasonServerFailed, organisation: verdict.Organisation()}
+		verdict = brrequest.Refuse(brrequest.ReasonOverloaded, "", 0)
 	}
-	defer func() { _ = answer.Close() }()
-	result := Result{fate: brrequest.FateRan, organisation: verdict.Organisation(), started: true}
-	result.whole = relay(answer, writer) == nil
-	d.balancing.Release(brrequest.NewOutcome(server.Name(), outcomeOf(answer.Status(), result.whole), latency))
-	d.events.Record(brevent.New(brevent.KindRequestAnswered).
-		WithRequest(request.ID()).
-		WithOrganisation(verdict.Organisation()).
-		WithResource(server.Name()).
-		WithDetail("status", strconv.Itoa(answer.Status())).
-		WithDetail("whole", strconv.FormatBool(result.whole)))
-	return result
+	return d.carry(ctx, &job{request: request, verdict: verdict, call: call, writer: writer})
 }
 
-func placementOf(ctx context.Context, verdict brrequest.Verdict) brrequest.Placement {
-	placement := brrequest.NewPlacement(verdict.Route().Service(), verdict.Organisation()).WithWeight(verdict.Weight())
-	if deadline, ok := ctx.Deadline(); ok {
-		placement = placement.WithDeadline(deadline)
-	}
-	return placement
-}
-
-func outcomeOf(status int, whole bool) brrequest.OutcomeKind {
-	switch {
-	case !whole:
-		return brrequest.OutcomeBroken
-	case status >= firstFaultStatus:
-		return brrequest.OutcomeFault
-	default:
-		return brrequest.OutcomeAnswered
-	}
-}
-
-func (d *Dispatcher) patience(request brrequest.Request, verdict brrequest.Verdict) time.Duration {
-	patience := verdict.Route().Timeout()
-	if deadline := request.Deadline(); !deadline.IsZero() {
-		patience = min(patience, deadline.Sub(d.clock.Now()))
-	}
-	return patience
+// Receive carries a request that another entry VM has admitted. It is placed
+// in this failure domain or nowhere.
+func (d *Dispatcher) Receive(ctx context.Context, request brrequest.Request, verdict brrequest.Verdict, call brmessage.Call, writer Writer) Result {
+	return d.carry(ctx, &job{request: request, verdict: verdict, call: call, writer: writer, crossed: true})
 }
 
-func (d *Dispatcher) refused(request brrequest.Request, verdict brrequest.Verdict) Result {
-	d.record(brevent.KindRequestRefused, request, verdict)
-	return Result{
-		fate:         brrequest.FateNotRun,
-		reason:       verdict.Reason(),
-		retryAfter:   verdict.RetryAfter(),
-		organisation: verdict.Organisation(),
+func (d *Dispatcher) carry(ctx context.Context, j *job) Result {
+	if !j.verdict.Admitted() {
+		return d.finish(j, refusal(j.verdict.Reason(), j.verdict.RetryAfter()))
 	}
-}
-
-func (d *Dispatcher) record(kind brevent.Kind, request brrequest.Request, verdict brrequest.Verdict) {
-	event := brevent.New(kind).WithRequest(request.ID()).WithOrganisation(verdict.Organisation())
-	if verdict.Reason() != brrequest.ReasonNone {
-		event = event.WithDetail("reason", string(verdict.Reason()))
+	d.record(brevent.KindRequestAdmitted, j)
+	ctx, cancel := context.WithTimeout(ctx, j.patience(d.clock.Now()))
+	defer cancel()
+	if err := j.prepare(ctx); err != nil {
+		return d.finish(j, refusal(brrequest.ReasonCallerGone, 0))
 	}
-	d.events.Record(event)
+	d.retrying.Earn(j.route().Name())
+	return d.finish(j, d.attemptAll(ctx, j))
 }
--- /dev/null
+++ b/internal/service/brdispatch/job.go
@@ -0,0 +1,70 @@
+package brdispatch
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brmessage"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+)
+
+// fieldTimeout tells servers and other VMs after how many milliseconds the
+// answer is of no more use.
+const fieldTimeout = "Bergamotroad-Timeout"
+
+// job is one request on its way.
+type job struct {
+	request     brrequest.Request
+	verdict     brrequest.Verdict
+	call        brmessage.Call
+	writer      Writer
+	crossed     bool
+	body        *body
+	fingerprint brrequest.Fingerprint
+	placement   brrequest.Placement
+	tried       []string // failure domains
+	attempts    int
+	fate        brrequest.Fate
+}
+
+func (j *job) route() brconfig.Route { return j.verdict.Route() }
+
+// patience returns the shorter of what route and caller allow.
+func (j *job) patience(now time.Time) time.Duration {
+	patience := j.route().Timeout()
+	if deadline := j.request.Deadline(); !deadline.IsZero() {
+		patience = min(patience, deadline.Sub(now))
+	}
+	return patience
+}
+
+// hurried reports whether the caller allows less time than the route.
+func (j *job) hurried(now time.Time) bool {
+	return !j.request.Deadline().IsZero() && j.request.Deadline().Before(now.Add(j.route().Timeout()))
+}
+
+// prepare takes the body and works out what attempts need.
+func (j *job) prepare(ctx context.Context) error {
+	taken, err := takeBody(j.call)
+	if err != nil {
+		return err
+	}
+	j.body = taken
+	j.fingerprint = brrequest.NewFingerprint(j.route().Name(), j.call.Method(), j.call.Target(), taken.kept, j.call.Size())
+	j.placement = brrequest.NewPlacement(j.route().Service(), j.verdict.Organisation()).WithWeight(j.verdict.Weight())
+	if deadline, ok := ctx.Deadline(); ok {
+		j.placement = j.placement.WithDeadline(deadline)
+	}
+	return nil
+}
+
+// attempt returns the call with fields and body of its own.
+func (j *job) attempt(ctx context.Context, now time.Time) brmessage.Call {
+	fields := j.call.Fields().Clone()
+	if deadline, ok := ctx.Deadline(); ok {
+		fields.Set(fieldTimeout, strconv.FormatInt(max(deadline.Sub(now).Milliseconds(), 0), 10))
+	}
+	return brmessage.NewCall(j.call.Method(), j.call.Target(), fields, j.body.reader(), j.call.Size())
+}
--- a/internal/service/brnode/node.go
+++ b/internal/service/brnode/node.go
@@ -26,14 +26,12 @@
 	"bergamotroad.example/bergamotroad/internal/duty/brsteering"
 	"bergamotroad.example/bergamotroad/internal/duty/brtimeline"
 	"bergamotroad.example/bergamotroad/internal/model/brevent"
-	"bergamotroad.example/bergamotroad/internal/peer/brbackend"
 	"bergamotroad.example/bergamotroad/internal/peer/brcaller"
 	"bergamotroad.example/bergamotroad/internal/peer/brentry"
 	"bergamotroad.example/bergamotroad/internal/peer/brobject"
 	"bergamotroad.example/bergamotroad/internal/peer/broperator"
 	"bergamotroad.example/bergamotroad/internal/peer/brtable"
 	"bergamotroad.example/bergamotroad/internal/service/bradministration"
-	"bergamotroad.example/bergamotroad/internal/service/brdispatch"
 	"bergamotroad.example/bergamotroad/internal/service/brsettings"
 )
 
@@ -54,6 +52,7 @@
 	steering  *brsteering.Steering
 	spreading *brspreading.Spreading
 	polling   *brpolling.Polling
+	requests  requestDuties
 	fronts    []front
 }
 
@@ -74,6 +73,8 @@
 	n.spreading.Subscribe(n.admission.Snapshots())
 	n.spreading.Subscribe(n.balancing.Snapshots())
 	n.spreading.Subscribe(n.steering.Snapshots())
+	n.requests = newRequestDuties(settings, clock, n.timeline)
+	n.requests.subscribe(n.spreading)
 	if err := n.addFronts(); err != nil {
 		n.closeFronts()
 		return nil, err
@@ -101,14 +102,14 @@
 }
 
 func (n *Node) duties() []brduty.Runner {
-	return []brduty.Runner{
+	return append(n.requests.duties(),
 		n.timeline.Duty(),
 		n.admission.Duty(),
 		n.balancing.Duty(),
 		n.steering.Duty(),
 		n.spreading.Duty(),
 		n.polling.Duty(),
-	}
+	)
 }
 
 func (n *Node) addFronts() error {
@@ -118,7 +119,7 @@
 	objects := brobject.NewClient(client, platform.Objects(), platform.Timeout())
 	n.polling = brpolling.New(n.clock, table, objects, n.spreading, n.logger)
 
-	dispatcher := brdispatch.New(n.clock, n.admission, n.balancing, brbackend.NewClient(brbackend.NewTransport()), n.timeline)
+	dispatcher := n.requests.dispatcher(n)
 	callers, err := brcaller.NewHandler(n.clock, dispatcher, n.steering)
 	if err != nil {
 		return errors.Errorf("make callers' front: %w", err)
@@ -130,7 +131,8 @@
 	}
 	return errors.Join(
 		n.addFront("callers", n.settings.Callers(), callers),
-		n.addFront("peers", n.settings.Peers(), brentry.NewHandler(n.spreading, n.timeline)),
+		broperator.ServePoison(operators, n.requests.poisoning),
+		n.addFront("peers", n.settings.Peers(), n.requests.front(brentry.NewHandler(n.spreading, n.timeline), n.clock, dispatcher)),
 		n.addFront("operators", n.settings.Operators(), operators),
 	)
 }
--- /dev/null
+++ b/internal/service/brnode/requests.go
@@ -0,0 +1,57 @@
+package brnode
+
+import (
+	"net/http"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/core/brduty"
+	"bergamotroad.example/bergamotroad/internal/duty/brforwarding"
+	"bergamotroad.example/bergamotroad/internal/duty/brpoisoning"
+	"bergamotroad.example/bergamotroad/internal/duty/brretrying"
+	"bergamotroad.example/bergamotroad/internal/duty/brspreading"
+	"bergamotroad.example/bergamotroad/internal/duty/brtelling"
+	"bergamotroad.example/bergamotroad/internal/model/brevent"
+	"bergamotroad.example/bergamotroad/internal/peer/brbackend"
+	"bergamotroad.example/bergamotroad/internal/peer/brentry"
+	"bergamotroad.example/bergamotroad/internal/service/brdispatch"
+	"bergamotroad.example/bergamotroad/internal/service/brsettings"
+)
+
+// requestDuties are the duties behind the fate of requests.
+type requestDuties struct {
+	retrying   *brretrying.Retrying
+	forwarding *brforwarding.Forwarding
+	telling    *brtelling.Telling
+	poisoning  *brpoisoning.Poisoning
+}
+
+func newRequestDuties(settings brsettings.Settings, clock brclock.Clock, events brevent.Recorder) requestDuties {
+	telling := brtelling.New(settings.VM(), settings.Domain(), clock, brentry.NewTeller(&http.Client{}))
+	return requestDuties{
+		retrying:   brretrying.New(clock),
+		forwarding: brforwarding.New(settings.Domain(), clock),
+		telling:    telling,
+		poisoning:  brpoisoning.New(clock, events, telling),
+	}
+}
+
+func (r requestDuties) subscribe(spreading *brspreading.Spreading) {
+	spreading.Subscribe(r.retrying.Snapshots())
+	spreading.Subscribe(r.forwarding.Snapshots())
+	spreading.Subscribe(r.telling.Snapshots())
+}
+
+func (r requestDuties) duties() []brduty.Runner {
+	return []brduty.Runner{r.retrying.Duty(), r.forwarding.Duty(), r.telling.Duty(), r.poisoning.Duty()}
+}
+
+func (r requestDuties) dispatcher(n *Node) *brdispatch.Dispatcher {
+	backend := brbackend.NewClient(brbackend.NewTransport())
+	entry := brentry.NewForwarder(brbackend.NewClient(brbackend.NewTransport()))
+	return brdispatch.New(n.clock, n.admission, n.balancing, r.retrying, r.forwarding, r.poisoning, backend, entry, n.timeline)
+}
+
+// front returns the peers' front with what concerns requests.
+func (r requestDuties) front(next http.Handler, clock brclock.Clock, receiver brentry.Receiver) http.Handler {
+	return brentry.WithForwarding(brentry.WithPoison(next, r.poisoning), clock, receiver)
+}
