--- a/internal/service/brnode/duties.go
+++ b/internal/service/brnode/duties.go
@@ -5,12 +5,12 @@
 )
 
 func (n *Node) duties() []brduty.Runner {
-	return []brduty.Runner{
+	return append(n.requests.duties(),
 		n.timeline.Duty(),
 		n.admission.Duty(),
 		n.balancing.Duty(),
 		n.steering.Duty(),
 		n.spreading.Duty(),
 		n.polling.Duty(),
-	}
+	)
 }
--- a/internal/service/brnode/node.go
+++ b/internal/service/brnode/node.go
@@ -36,6 +36,7 @@
 	steering  *brsteering.Steering
 	spreading *brspreading.Spreading
 	polling   *brpolling.Polling
+	requests  requestDuties
 	fronts    []front
 }
 
@@ -50,6 +51,8 @@
 	n.spreading.Subscribe(n.admission.Snapshots())
 	n.spreading.Subscribe(n.balancing.Snapshots())
 	n.spreading.Subscribe(n.steering.Snapshots())
+	n.requests = newRequestDuties(settings, clock, n.timeline)
+	n.requests.subscribe(n.spreading)
 	if err := n.addFronts(); err != nil {
 		n.closeFronts()
 		return nil, err
