Count limits in parts and hold them by leased slots and loans

A failure domain's parts lie in one row of slots; a process holds slots by leases, and lends parts with their tokens, by debit before credit. A property drives processes with clocks of their own through loss, repetition, delay, crash, lapse and changed limits, and checks sum and leaky bucket after every step.

--- /dev/null
+++ b/internal/decide/brshare/ledger.go
@@ -0,0 +1,128 @@
+package brshare
+
+import "time"
+
+// Quantity is what a ledger counts: parts of a limit, slots, bytes.
+type Quantity interface {
+	~int64
+}
+
+// LoanID names a loan: the borrower's incarnation and its number there.
+type LoanID struct {
+	borrower string
+	number   uint64
+}
+
+// NewLoanID returns the name of a borrower's loan.
+func NewLoanID(borrower string, number uint64) LoanID {
+	return LoanID{borrower: borrower, number: number}
+}
+
+// Borrower returns the borrower's incarnation.
+func (i LoanID) Borrower() string { return i.borrower }
+
+// Number returns the loan's number among those of the borrower.
+func (i LoanID) Number() uint64 { return i.number }
+
+type entry[Q Quantity] struct {
+	amount Q
+	tokens int64
+	lease  time.Duration
+	end    time.Time
+}
+
+// Ledger is what one holder may use of a quantity: what it was granted and has
+// borrowed, less what it has lent. Every entry ends with its lease.
+type Ledger[Q Quantity] struct {
+	grants map[string]entry[Q]
+	loans  map[LoanID]entry[Q] // borrowed
+	debts  map[LoanID]entry[Q] // lent
+	usable Q
+	next   time.Time
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger[Q Quantity]() *Ledger[Q] {
+	return &Ledger[Q]{grants: map[string]entry[Q]{}, loans: map[LoanID]entry[Q]{}, debts: map[LoanID]entry[Q]{}}
+}
+
+// Usable returns what may be used after the last call of Lapse or a change.
+func (l *Ledger[Q]) Usable() Q { return l.usable }
+
+// Next returns the earliest end of an entry, or the zero time.
+func (l *Ledger[Q]) Next() time.Time { return l.next }
+
+// Due reports whether an entry has ended at the time.
+func (l *Ledger[Q]) Due(now time.Time) bool {
+	return !l.next.IsZero() && !now.Before(l.next)
+}
+
+// Lapse removes the entries that have ended at the time.
+func (l *Ledger[Q]) Lapse(now time.Time) {
+	lapse(l.grants, now)
+	lapse(l.loans, now)
+	lapse(l.debts, now)
+	l.sum()
+}
+
+// Grant sets what a slot of the platform's table gives, until its lease ends.
+// What has been lent stays backed: a grant never shrinks below it.
+func (l *Ledger[Q]) Grant(slot string, amount Q, end time.Time) {
+	l.grants[slot] = entry[Q]{amount: amount, end: end}
+	l.sum()
+}
+
+// Lendable returns what can be lent until a time: what grants of that length
+// give, less all that is lent. Borrowed amounts are not lent on.
+func (l *Ledger[Q]) Lendable(end time.Time) Q {
+	var amount Q
+	for _, g := range l.grants {
+		if !g.end.Before(end) {
+			amount += g.amount
+		}
+	}
+	for _, d := range l.debts {
+		amount -= d.amount
+	}
+	return max(amount, 0)
+}
+
+func (l *Ledger[Q]) lend(id LoanID, debt entry[Q]) {
+	l.debts[id] = debt
+	l.sum()
+}
+
+func (l *Ledger[Q]) borrow(id LoanID, loan entry[Q]) {
+	l.loans[id] = loan
+	l.sum()
+}
+
+// sum computes anew what is usable and when that changes next.
+func (l *Ledger[Q]) sum() {
+	l.usable, l.next = 0, time.Time{}
+	for _, g := range l.grants {
+		l.add(g.amount, g.end)
+	}
+	for _, b := range l.loans {
+		l.add(b.amount, b.end)
+	}
+	for _, d := range l.debts {
+		l.add(-d.amount, d.end)
+	}
+	l.usable = max(l.usable, 0)
+}
+
+func (l *Ledger[Q]) add(amount Q, end time.Time) {
+	l.usable += amount
+	if l.next.IsZero() || end.Before(l.next) {
+		l.next = end
+	}
+}
+
+func lapse[K comparable, Q Quantity](entries map[K]entry[Q], now time.Time) {
+	for key, e := range entries {
+		if !now.Before(e.end) {
+			delete(entries, key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/decide/brshare/limit.go
@@ -0,0 +1,140 @@
+package brshare
+
+import (
+	"math/bits"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brdivision"
+	"bergamotroad.example/bergamotroad/internal/model/brunit"
+)
+
+// Parts counts parts of a limit.
+type Parts = brdivision.Parts
+
+// Whole is the number of parts of which each limit consists. Scaled limits are
+// whole multiples of it, so that dividing them leaves no remainder.
+const Whole = brdivision.Whole
+
+// clockError is the inverse of the largest error in the rate of a VM's clock:
+// 500 parts in a million.
+const clockError = 2000
+
+// Limit is the rate and burst of one contract in scaled units.
+type Limit struct {
+	scale          brunit.Scale
+	perPeriod      int64
+	period         time.Duration
+	burst          int64
+	standardWeight int64
+	weights        map[string]int64
+}
+
+// NewLimit compiles a contract with its unit. It returns an error that names
+// the field which can't be represented without loss.
+func NewLimit(contract brconfig.Contract, unit brconfig.Unit) (Limit, error) {
+	if contract.Period() <= 0 {
+		return Limit{}, errors.New("period: must be more than 0")
+	}
+	amounts := []brunit.Amount{contract.Rate(), contract.Burst(), unit.Standard()}
+	for _, weight := range unit.Weights() {
+		amounts = append(amounts, weight)
+	}
+	scale, err := brunit.NewScale(int64(Whole), amounts...)
+	if err != nil {
+		return Limit{}, errors.Errorf("rate, burst and weights have no common scale: %w", err)
+	}
+	limit := Limit{scale: scale, period: contract.Period(), weights: make(map[string]int64, len(unit.Weights()))}
+	if limit.perPeriod, err = positive(scale, contract.Rate()); err != nil {
+		return Limit{}, errors.Errorf("rate: %w", err)
+	}
+	if limit.burst, err = positive(scale, contract.Burst()); err != nil {
+		return Limit{}, errors.Errorf("burst: %w", err)
+	}
+	if limit.standardWeight, err = positive(scale, unit.Standard()); err != nil {
+		return Limit{}, errors.Errorf("unit %q: standard: %w", unit.Name(), err)
+	}
+	for route, weight := range unit.Weights() {
+		if limit.weights[route], err = positive(scale, weight); err != nil {
+			return Limit{}, errors.Errorf("unit %q: weights.%s: %w", unit.Name(), route, err)
+		}
+	}
+	return limit, nil
+}
+
+// CheckContracts returns an error that names the first contract of a snapshot
+// that has no lossless scale or an organisation of which another has one too.
+func CheckContracts(snapshot *brconfig.Snapshot) error {
+	contracts := map[string]string{}
+	for c := range snapshot.Contracts().All() {
+		if other, ok := contracts[c.Organisation()]; ok {
+			return errors.Errorf("contract %q: organisation %q has contract %q already", c.Name(), c.Organisation(), other)
+		}
+		contracts[c.Organisation()] = c.Name()
+		unit, _ := snapshot.Units().Get(c.Unit()).Get()
+		if _, err := NewLimit(c, unit); err != nil {
+			return errors.Errorf("contract %q: %w", c.Name(), err)
+		}
+	}
+	return nil
+}
+
+// Scale returns the scale of the limit's amounts.
+func (l Limit) Scale() brunit.Scale { return l.scale }
+
+// PerPeriod returns the scaled units of one period.
+func (l Limit) PerPeriod() int64 { return l.perPeriod }
+
+// Period returns the period.
+func (l Limit) Period() time.Duration { return l.period }
+
+// Burst returns the scaled units that may be used at once.
+func (l Limit) Burst() int64 { return l.burst }
+
+// Weight returns the scaled units of one request of a route.
+func (l Limit) Weight(route string) int64 {
+	if weight, ok := l.weights[route]; ok {
+		return weight
+	}
+	return l.standardWeight
+}
+
+// Share returns the share that consists of so many parts. Its period is longer
+// by the error of a clock, so that a fast clock does not raise the rate.
+func (l Limit) Share(parts Parts) Share {
+	count := int64(parts)
+	period := l.period + (l.period+clockError-2)/(clockError-1)
+	return NewShare(l.perPeriod/int64(Whole)*count, period, l.BurstOf(parts))
+}
+
+// BurstOf returns the burst of so many parts.
+func (l Limit) BurstOf(parts Parts) int64 {
+	return l.burst / int64(Whole) * int64(parts)
+}
+
+// convert returns a level of the earlier limit in the scale of this one,
+// rounded down.
+func (l Limit) convert(level int64, earlier Limit) int64 {
+	if l.scale == earlier.scale {
+		return level
+	}
+	from, to := uint64(earlier.scale.Factor()), uint64(l.scale.Factor())
+	if from == 0 || level <= 0 {
+		return 0
+	}
+	high, low := bits.Mul64(uint64(level), to)
+	if high >= from {
+		return l.burst
+	}
+	converted, _ := bits.Div64(high, low, from)
+	return int64(min(converted, uint64(l.burst)))
+}
+
+func positive(scale brunit.Scale, amount brunit.Amount) (int64, error) {
+	if amount.Sign() <= 0 {
+		return 0, errors.Errorf("%s is not more than 0", amount)
+	}
+	return scale.Int(amount)
+}
--- /dev/null
+++ b/internal/decide/brshare/tenancy.go
@@ -0,0 +1,242 @@
+package brshare
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"bergamotroad.example/bergamotroad/internal/model/brdivision"
+)
+
+// Terms are the settings by which a failure domain's parts are held.
+type Terms struct {
+	poolLease  time.Duration
+	floorLease time.Duration
+	floorShare int
+}
+
+// Defaults of the terms.
+const (
+	DefaultPoolLease  = 10 * time.Second
+	DefaultFloorLease = 75 * time.Minute
+	DefaultFloorShare = 25 // percent
+)
+
+// floorRenewals is how often a floor is renewed within its lease.
+const floorRenewals = 5
+
+// DefaultVisitPeriod is how often a VM visits the row of its failure domain:
+// twice within a lease of the pool.
+const DefaultVisitPeriod = DefaultPoolLease / 2
+
+// NewTerms returns terms: the leases of pool and floors, and the percentage of
+// a failure domain's parts that are floors.
+func NewTerms(poolLease, floorLease time.Duration, floorShare int) Terms {
+	return Terms{poolLease: poolLease, floorLease: floorLease, floorShare: min(max(floorShare, 0), 100)}
+}
+
+// DefaultTerms returns the default terms.
+func DefaultTerms() Terms {
+	return NewTerms(DefaultPoolLease, DefaultFloorLease, DefaultFloorShare)
+}
+
+// Layout is how a failure domain's parts ought to be divided.
+type Layout struct {
+	parts  Parts
+	floors int
+}
+
+// NewLayout returns a layout of so many parts with a floor for each VM.
+func NewLayout(parts Parts, floors int) Layout {
+	return Layout{parts: parts, floors: max(floors, 1)}
+}
+
+// Tenancy decides what one process does to the row of its failure domain.
+type Tenancy struct {
+	holder  string
+	vm      string
+	terms   Terms
+	seen    map[string]sighting
+	renewed map[string]time.Time
+	leaving bool
+}
+
+type sighting struct {
+	slot  brdivision.Slot
+	since time.Time
+}
+
+// NewTenancy returns the tenancy of a process, named by its incarnation.
+func NewTenancy(holder, vm string, terms Terms) *Tenancy {
+	return &Tenancy{holder: holder, vm: vm, terms: terms, seen: map[string]sighting{}, renewed: map[string]time.Time{}}
+}
+
+// Observe notes a row that was read; now is a time after the read.
+func (t *Tenancy) Observe(row brdivision.Row, now time.Time) {
+	for _, s := range row.Slots() {
+		if seen, ok := t.seen[s.Name()]; !ok || seen.slot != s {
+			t.seen[s.Name()] = sighting{slot: s, since: now}
+		}
+	}
+}
+
+// Next returns the row as this process wants it and whether that differs from
+// what was read. A row that does not exist is the empty one. A candidate may take the pool.
+func (t *Tenancy) Next(row brdivision.Row, layout Layout, candidate bool, now time.Time) (brdivision.Row, bool) {
+	next, changed := t.renew(row, layout, now)
+	if t.leaving {
+		return next, changed
+	}
+	if candidate && t.vacant(next, brdivision.PoolSlot, now) {
+		next, changed = t.takePool(next, layout, now), true
+	}
+	if taken, ok := t.takeFloor(next, now); ok {
+		next, changed = taken, true
+	}
+	return next, changed
+}
+
+// Committed returns the grants of a row that was written. The leases count
+// from asked, a time before the row was read.
+func (t *Tenancy) Committed(before, row brdivision.Row, asked time.Time) []Grant {
+	grants := []Grant{}
+	for _, s := range row.Slots() {
+		if s.Holder() != t.holder || t.unchanged(before, s) {
+			continue
+		}
+		t.renewed[s.Name()] = asked
+		grants = append(grants, Grant{slot: s.Name(), parts: s.Parts(), end: HolderEnd(asked, s.Lease())})
+	}
+	return grants
+}
+
+// Leave makes the process take and renew nothing more.
+func (t *Tenancy) Leave() { t.leaving = true }
+
+// Grant is what a slot gives its holder until its lease ends.
+type Grant struct {
+	slot  string
+	parts Parts
+	end   time.Time
+}
+
+// Slot returns the name of the slot.
+func (g Grant) Slot() string { return g.slot }
+
+// Parts returns the parts.
+func (g Grant) Parts() Parts { return g.parts }
+
+// End returns the time at which the lease ends for the holder.
+func (g Grant) End() time.Time { return g.end }
+
+func (*Tenancy) unchanged(before brdivision.Row, slot brdivision.Slot) bool {
+	return slices.Contains(before.Slots(), slot)
+}
+
+func (t *Tenancy) renew(row brdivision.Row, layout Layout, now time.Time) (brdivision.Row, bool) {
+	changed := false
+	for _, s := range row.Slots() {
+		if s.Holder() != t.holder || t.leaving || !t.renewalDue(s, row, layout, now) {
+			continue
+		}
+		row, changed = row.Replace(s.Held(t.holder, t.vm, s.Lease())), true
+	}
+	return row, changed
+}
+
+// renewalDue is false for the pool while the layout is to change: its lease
+// runs out, and whoever takes it next divides anew what is free then.
+func (t *Tenancy) renewalDue(slot brdivision.Slot, row brdivision.Row, layout Layout, now time.Time) bool {
+	if slot.Name() == brdivision.PoolSlot {
+		return row.Parts() == layout.parts && len(row.Slots()) == layout.floors+1
+	}
+	if !t.holdsFloor(slot) && row.Waiting() {
+		return false
+	}
+	renewed, ok := t.renewed[slot.Name()]
+	return !ok || now.Sub(renewed) >= slot.Lease()/floorRenewals
+}
+
+// takeFloor takes one vacant floor where the process has none. The holder of
+// the pool takes the others too, under the pool's lease, so that the parts of
+// VMs that do not run are used; it lets go of them once a VM waits for a floor.
+func (t *Tenancy) takeFloor(row brdivision.Row, now time.Time) (brdivision.Row, bool) {
+	changed, floored := false, slices.ContainsFunc(row.Slots(), t.holdsFloor)
+	for _, s := range row.Slots() {
+		if s.Name() == brdivision.PoolSlot || !t.vacant(row, s.Name(), now) {
+			continue
+		}
+		lease := t.terms.floorLease
+		if floored {
+			if !t.holdsPool(row) || row.Waiting() {
+				break
+			}
+			lease = t.terms.poolLease
+		}
+		row = row.Replace(s.Held(t.holder, t.vm, lease))
+		if !floored {
+			row = row.WithWaiting(false)
+		}
+		changed, floored = true, true
+	}
+	if !floored && !row.Waiting() && len(row.Slots()) > 0 {
+		return row.WithWaiting(true), true
+	}
+	return row, changed
+}
+
+func (t *Tenancy) holdsFloor(s brdivision.Slot) bool {
+	return s.Name() != brdivision.PoolSlot && s.Holder() == t.holder && s.Lease() == t.terms.floorLease
+}
+
+func (t *Tenancy) holdsPool(row brdivision.Row) bool {
+	return slices.ContainsFunc(row.Slots(), func(s brdivision.Slot) bool {
+		return s.Name() == brdivision.PoolSlot && s.Holder() == t.holder
+	})
+}
+
+// takePool divides anew the parts of the pool and of vacant floors, and takes the pool.
+func (t *Tenancy) takePool(row brdivision.Row, layout Layout, now time.Time) brdivision.Row {
+	sequence := row.Sequence() + 1
+	floors := []brdivision.Slot{}
+	free := layout.parts
+	for _, s := range row.Slots() {
+		if s.Name() != brdivision.PoolSlot && !t.vacant(row, s.Name(), now) {
+			floors = append(floors, s)
+			free -= s.Parts()
+		}
+	}
+	size := layout.parts * Parts(t.terms.floorShare) / 100 / Parts(layout.floors)
+	for i := 0; len(floors) < layout.floors && free >= size; i++ {
+		name := "floor-" + strconv.Itoa(i)
+		if slices.ContainsFunc(floors, func(s brdivision.Slot) bool { return s.Name() == name }) {
+			continue
+		}
+		floors = append(floors, brdivision.NewSlot(name, size).WithSequence(sequence))
+		free -= size
+	}
+	if free < 0 {
+		return row
+	}
+	taken := brdivision.NewSlot(brdivision.PoolSlot, free).WithSequence(sequence).Held(t.holder, t.vm, t.terms.poolLease)
+	next, err := brdivision.NewRow(layout.parts, append([]brdivision.Slot{taken}, floors...)...)
+	if err != nil {
+		return row
+	}
+	return next.WithSequence(sequence)
+}
+
+// vacant reports whether nobody can hold a slot any more.
+func (t *Tenancy) vacant(row brdivision.Row, name string, now time.Time) bool {
+	for _, s := range row.Slots() {
+		if s.Name() != name {
+			continue
+		}
+		if s.Holder() == "" {
+			return true
+		}
+		seen := t.seen[name]
+		return seen.slot == s && !now.Before(GiverEnd(seen.since, s.Lease()))
+	}
+	return name == brdivision.PoolSlot
+}
--- /dev/null
+++ b/internal/decide/brshare/world_property_test.go
@@ -0,0 +1,129 @@
+package brshare_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"bergamotroad.example/bergamotroad/internal/decide/brshare"
+
+	_ "bergamotroad.example/bergamotroad/internal/standin/brseed"
+)
+
+// delays are how long the world stands still between two steps.
+var delays = []time.Duration{
+	0, time.Millisecond, 200 * time.Millisecond, time.Second, 3 * time.Second,
+	10*time.Second - time.Millisecond, 10 * time.Second, 20 * time.Second, 76 * time.Minute,
+}
+
+const stepsPerRun = 200
+
+// Through loss, repetition, reordering, delay, pause, crash, restart, lapse,
+// changed limits and clocks of other rates, no window admits more than
+// rate x time + burst.
+func TestNeverMoreThanRateAndBurst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, rapid.IntRange(2, 5).Draw(t, "processes"),
+			limitOf(t, "30", "6", "1", time.Minute),
+			limitOf(t, "60", "12", "1", time.Minute),
+			limitOf(t, "15", "3", "1", time.Minute))
+		settle(w)
+		for range stepsPerRun {
+			step(t, w)
+			w.check()
+		}
+	})
+}
+
+func step(t *rapid.T, w *world) {
+	p := rapid.SampledFrom(w.processes).Draw(t, "process")
+	switch rapid.IntRange(0, 13).Draw(t, "step") {
+	case 0, 1, 2:
+		w.pass(rapid.SampledFrom(delays).Draw(t, "delay"))
+	case 3, 4, 5:
+		for w.take(p, w.limits[0].Weight("")) {
+			continue
+		}
+	case 6, 7:
+		w.ask(p, rapid.SampledFrom(w.processes).Draw(t, "lender"), w.limits[0].Burst())
+	case 8, 9:
+		if m, ok := w.visit(p); ok {
+			w.bus = append(w.bus, m)
+		}
+	case 10, 11:
+		if len(w.bus) > 0 {
+			index := rapid.IntRange(0, len(w.bus)-1).Draw(t, "message")
+			w.deliver(index, rapid.Bool().Draw(t, "repeat"))
+		}
+	case 12:
+		w.upset(t, p)
+	case 13:
+		w.round()
+	}
+}
+
+// upset crashes a process, loses a message, changes a limit or the number of VMs.
+func (w *world) upset(t *rapid.T, p *process) {
+	switch rapid.IntRange(0, 3).Draw(t, "upset") {
+	case 0:
+		w.start(p)
+	case 1:
+		w.bus = nil
+	case 2:
+		w.changeLimit(p, rapid.IntRange(0, len(w.limits)-1).Draw(t, "limit"))
+	case 3:
+		w.floors = rapid.IntRange(1, 4).Draw(t, "floors")
+	}
+}
+
+// round lets every process visit the table without loss.
+func (w *world) round() {
+	for _, p := range w.processes {
+		if m, ok := w.visit(p); ok {
+			m.deliver()
+			w.deliver(len(w.bus)-1, false)
+		}
+	}
+}
+
+func settle(w *world) {
+	for range 3 {
+		w.round()
+		w.pass(5 * time.Second)
+	}
+}
+
+// gather asks all others for loans, without loss.
+func (w *world) gather(p *process) {
+	for _, lender := range w.processes {
+		if lender != p {
+			w.ask(p, lender, w.limits[0].Burst())
+			w.deliver(len(w.bus)-1, false)
+			w.deliver(len(w.bus)-1, false)
+		}
+	}
+}
+
+// With all connected, a limit of 3 a minute over 11 VMs can be used whole by one.
+func TestSmallLimitIsUsableWholeByOneVM(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := limitOf(t, "3", "3", "1", time.Minute)
+		w := newWorld(t, 11, limit)
+		settle(w)
+		for range 14 {
+			w.pass(5 * time.Second)
+			w.round()
+		}
+		w.pass(time.Second)
+		p := rapid.SampledFrom(w.processes).Draw(t, "process")
+		w.gather(p)
+		require.Equal(t, brshare.Whole, p.account.Parts(w.now(p)))
+		for range 3 {
+			require.True(t, w.take(p, limit.Weight("")))
+		}
+		require.False(t, w.take(p, limit.Weight("")))
+		w.check()
+	})
+}
--- /dev/null
+++ b/internal/decide/brshare/world_test.go
@@ -0,0 +1,180 @@
+package brshare_test
+
+import (
+	"fmt"
+	"math/big"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"bergamotroad.example/bergamotroad/internal/decide/brshare"
+	"bergamotroad.example/bergamotroad/internal/model/brdivision"
+)
+
+const (
+	loanLease = 3 * time.Second
+	domains   = 2
+)
+
+// process is one VM with its own clock.
+type process struct {
+	name    string
+	domain  int
+	rate    int64 // of the clock, in parts in a million above the true time
+	number  uint64
+	starts  int
+	limit   int
+	tenancy *brshare.Tenancy
+	account *brshare.Account
+}
+
+func (p *process) incarnation() string { return fmt.Sprintf("%s/%d", p.name, p.starts) }
+
+// message is on its way between two processes, or between one and the table.
+type message struct {
+	deliver func()
+	to      *process
+	starts  int
+}
+
+// world is a number of processes, a table and a bus, in fake time. It keeps
+// the queue of a leaky bucket: it is never above the burst if and only if no
+// window of time has admitted more than rate x time + burst.
+type world struct {
+	t         *rapid.T
+	elapsed   time.Duration
+	limits    []brshare.Limit
+	processes []*process
+	rows      [domains]brdivision.Row
+	versions  [domains]int
+	floors    int
+	bus       []message
+	queue     *big.Int // scaled units x period
+	burst     int64
+	admitted  int64
+}
+
+func newWorld(t *rapid.T, count int, limits ...brshare.Limit) *world {
+	w := &world{t: t, limits: limits, queue: new(big.Int), floors: (count + domains - 1) / domains, burst: limits[0].Burst()}
+	for i := range count {
+		p := &process{name: fmt.Sprint("vm-", i), domain: i % domains, rate: rapid.Int64Range(-500, 500).Draw(t, "clock")}
+		w.processes = append(w.processes, p)
+		w.start(p)
+	}
+	return w
+}
+
+func (w *world) now(p *process) time.Time {
+	return start.Add(w.elapsed + w.elapsed/1_000_000*time.Duration(p.rate))
+}
+
+func (w *world) start(p *process) {
+	p.starts++
+	p.tenancy = brshare.NewTenancy(p.incarnation(), p.name, brshare.DefaultTerms())
+	p.account = brshare.NewAccount(w.limits[p.limit], w.now(p))
+}
+
+func (w *world) pass(d time.Duration) {
+	w.elapsed += d
+	rate, period := int64(0), int64(w.limits[0].Period())
+	for _, p := range w.processes {
+		rate = max(rate, w.limits[p.limit].PerPeriod())
+	}
+	drained := new(big.Int).Mul(big.NewInt(rate), big.NewInt(int64(d)))
+	w.queue.Sub(w.queue, drained)
+	if w.queue.Sign() < 0 {
+		w.queue.SetInt64(0)
+	}
+	_ = period
+}
+
+// changeLimit makes one process use another limit. Where the largest burst in
+// use shrinks, earlier windows keep the burst that they had.
+func (w *world) changeLimit(p *process, limit int) {
+	p.limit = limit
+	p.account.Change(w.limits[limit], w.now(p))
+	burst := int64(0)
+	for _, p := range w.processes {
+		burst = max(burst, w.limits[p.limit].Burst())
+	}
+	if burst < w.burst {
+		less := new(big.Int).Mul(big.NewInt(w.burst-burst), big.NewInt(int64(w.limits[0].Period())))
+		w.queue.Sub(w.queue, less)
+		if w.queue.Sign() < 0 {
+			w.queue.SetInt64(0)
+		}
+	}
+	w.burst = burst
+}
+
+func (w *world) take(p *process, weight int64) bool {
+	if !p.account.Take(weight, w.now(p)) {
+		return false
+	}
+	w.admitted += weight
+	w.queue.Add(w.queue, new(big.Int).Mul(big.NewInt(weight), big.NewInt(int64(w.limits[0].Period()))))
+	return true
+}
+
+// visit reads the domain's row and returns the message that writes it; its
+// answer is one more message.
+func (w *world) visit(p *process) (message, bool) {
+	asked, row, version := w.now(p), w.rows[p.domain], w.versions[p.domain]
+	p.tenancy.Observe(row, w.now(p))
+	layout := brshare.NewLayout(brdivision.Even(brshare.Whole, p.domain, domains), w.floors)
+	next, changed := p.tenancy.Next(row, layout, true, w.now(p))
+	if !changed {
+		return message{}, false
+	}
+	tenancy, account := p.tenancy, p.account
+	return message{to: p, starts: p.starts, deliver: func() {
+		if w.versions[p.domain] != version {
+			return
+		}
+		w.rows[p.domain], w.versions[p.domain] = next, version+1
+		w.send(p, func() {
+			for _, g := range tenancy.Committed(row, next, asked) {
+				account.Grant(g.Slot(), g.Parts(), g.End(), w.now(p))
+			}
+		})
+	}}, true
+}
+
+func (w *world) send(to *process, deliver func()) {
+	w.bus = append(w.bus, message{to: to, starts: to.starts, deliver: deliver})
+}
+
+// ask sends a question for a loan; the lender's answer is one more message.
+func (w *world) ask(borrower, lender *process, wanted int64) {
+	borrower.number++
+	id := brshare.NewLoanID(borrower.incarnation(), borrower.number)
+	borrower.account.Ask(id, w.now(borrower))
+	account := borrower.account
+	w.send(lender, func() {
+		loan := lender.account.Lend(id, wanted, loanLease, w.now(lender))
+		w.send(borrower, func() { account.Borrow(id, loan, w.now(borrower)) })
+	})
+}
+
+// deliver takes a message off the bus, unless it is to be repeated later. The
+// messages for a process that has crashed are lost with it.
+func (w *world) deliver(index int, repeat bool) {
+	m := w.bus[index]
+	if !repeat {
+		w.bus = append(w.bus[:index:index], w.bus[index+1:]...)
+	}
+	if m.to == nil || m.starts == m.to.starts {
+		m.deliver()
+	}
+}
+
+func (w *world) check() {
+	var sum brshare.Parts
+	for _, p := range w.processes {
+		sum += p.account.Parts(w.now(p))
+	}
+	require.LessOrEqual(w.t, sum, brshare.Whole, "sum of usable parts")
+	bound := new(big.Int).Mul(big.NewInt(w.burst), big.NewInt(int64(w.limits[0].Period())))
+	require.LessOrEqual(w.t, w.queue.Cmp(bound), 0, "admitted above rate x time + burst")
+}
--- a/internal/model/brunit/amount.go
+++ b/internal/model/brunit/amount.go
@@ -10,10 +10,14 @@
 
 import (
 	"math/big"
+	"strings"
 
 	"github.com/go-faster/errors"
 )
 
+// maxAmountLength bounds the text of an amount, in bytes.
+const maxAmountLength = 40
+
 // Amount is an immutable rational number of units. The zero Amount is 0.
 type Amount struct {
 	value *big.Rat
@@ -24,8 +28,15 @@
 	return Amount{value: big.NewRat(numerator, denominator)}
 }
 
-// Parse reads an amount such as "30", "2.5" or "3/4".
+// Parse reads an amount such as "30", "2.5" or "3/4". Exponents and other
+// number bases are refused, as a few bytes of them stand for huge numbers.
 func Parse(text string) (Amount, error) {
+	if len(text) > maxAmountLength {
+		return Amount{}, errors.Errorf("number of %d bytes is longer than %d", len(text), maxAmountLength)
+	}
+	if strings.Trim(text, "0123456789./-") != "" || strings.ContainsAny(text, "eEpPxXoObB_") {
+		return Amount{}, errors.Errorf("%q is not a number such as 30, 2.5 or 3/4", text)
+	}
 	value, ok := new(big.Rat).SetString(text)
 	if !ok {
 		return Amount{}, errors.Errorf("%q is not a rational number", text)
