Hold shares on VMs: tenancy in the table, loans between VMs, admission by rate

Admission takes the weight of a route from the organisation's account, parks a request over the VM's own share while loans are sought, and refuses with Retry-After. The tenancy duty holds slots of the domain's row; the lending duty asks other VMs by twirp. Contracts that can't be scaled are refused when they are applied.

--- /dev/null
+++ b/internal/codec/brdocument/shares.go
@@ -0,0 +1,105 @@
+package brdocument
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/model/brdivision"
+)
+
+// DivisionKey is the key of the row that divides limits over failure domains.
+const DivisionKey = "shares-division"
+
+// SharesKey returns the key of the row that divides a failure domain's parts.
+func SharesKey(domain string) string { return "shares/" + domain }
+
+type slotDocument struct {
+	Name              string `json:"name"`
+	Parts             int64  `json:"parts"`
+	Holder            string `json:"holder,omitempty"`
+	VM                string `json:"vm,omitempty"`
+	LeaseMilliseconds int64  `json:"leaseMilliseconds,omitempty"`
+	Sequence          uint64 `json:"sequence"`
+}
+
+type sharesDocument struct {
+	Parts    int64          `json:"parts"`
+	Sequence uint64         `json:"sequence"`
+	Waiting  bool           `json:"waiting,omitempty"`
+	Slots    []slotDocument `json:"slots"`
+}
+
+type divisionDocument struct {
+	Domains map[string]int64 `json:"domains"`
+}
+
+// EncodeShares returns the document of a failure domain's row.
+func EncodeShares(row brdivision.Row) ([]byte, error) {
+	document := sharesDocument{Parts: int64(row.Parts()), Sequence: row.Sequence(), Waiting: row.Waiting()}
+	for _, s := range row.Slots() {
+		document.Slots = append(document.Slots, slotDocument{
+			Name:              s.Name(),
+			Parts:             int64(s.Parts()),
+			Holder:            s.Holder(),
+			VM:                s.VM(),
+			LeaseMilliseconds: s.Lease().Milliseconds(),
+			Sequence:          s.Sequence(),
+		})
+	}
+	data, err := json.Marshal(document)
+	if err != nil {
+		return nil, errors.Errorf("encode shares: %w", err)
+	}
+	return data, nil
+}
+
+// DecodeShares reads the document of a failure domain's row.
+func DecodeShares(data []byte) (brdivision.Row, error) {
+	var document sharesDocument
+	if err := json.Unmarshal(data, &document); err != nil {
+		return brdivision.Row{}, errors.Errorf("decode shares: %w", err)
+	}
+	slots := make([]brdivision.Slot, 0, len(document.Slots))
+	for _, s := range document.Slots {
+		lease := time.Duration(s.LeaseMilliseconds) * time.Millisecond
+		slots = append(slots, brdivision.NewSlot(s.Name, brdivision.Parts(s.Parts)).
+			Held(s.Holder, s.VM, lease).
+			WithSequence(s.Sequence))
+	}
+	row, err := brdivision.NewRow(brdivision.Parts(document.Parts), slots...)
+	if err != nil {
+		return brdivision.Row{}, errors.Errorf("decode shares: %w", err)
+	}
+	return row.WithSequence(document.Sequence).WithWaiting(document.Waiting), nil
+}
+
+// EncodeDivision returns the document of the division over failure domains.
+func EncodeDivision(division brdivision.Division) ([]byte, error) {
+	document := divisionDocument{Domains: map[string]int64{}}
+	for domain, parts := range division.Domains() {
+		document.Domains[domain] = int64(parts)
+	}
+	data, err := json.Marshal(document)
+	if err != nil {
+		return nil, errors.Errorf("encode division: %w", err)
+	}
+	return data, nil
+}
+
+// DecodeDivision reads the document of the division over failure domains.
+func DecodeDivision(data []byte) (brdivision.Division, error) {
+	var document divisionDocument
+	if err := json.Unmarshal(data, &document); err != nil {
+		return brdivision.Division{}, errors.Errorf("decode division: %w", err)
+	}
+	division := brdivision.NewDivision()
+	var err error
+	for domain, parts := range document.Domains {
+		if division, err = division.With(domain, brdivision.Parts(parts)); err != nil {
+			return brdivision.Division{}, errors.Errorf("decode division: %w", err)
+		}
+	}
+	return division, nil
+}
--- a/internal/decide/brshare/account.go
+++ b/internal/decide/brshare/account.go
@@ -1,40 +1,33 @@
 package brshare
 
-import "time"
+import (
+	"time"
 
-// Loan is what a lender gives: parts of a limit, with tokens that have accrued
-// on them, for as long as a lease.
-type Loan struct {
-	parts  Parts
-	tokens int64
-	lease  time.Duration
-}
-
-// NewLoan returns a loan as read from a message.
-func NewLoan(parts Parts, tokens int64, lease time.Duration) Loan {
-	return Loan{parts: parts, tokens: tokens, lease: lease}
-}
-
-// Parts returns the parts that are lent.
-func (l Loan) Parts() Parts { return l.parts }
-
-// Tokens returns the scaled units that come with the parts.
-func (l Loan) Tokens() int64 { return l.tokens }
-
-// Lease returns how long the loan may be used, counted from before it was asked for.
-func (l Loan) Lease() time.Duration { return l.lease }
+	"bergamotroad.example/bergamotroad/internal/model/brloan"
+)
 
 // Account is what one VM may use of one limit. It has one owner.
 type Account struct {
 	limit  Limit
 	ledger *Ledger[Parts]
 	bucket *Bucket
-	asked  map[LoanID]time.Time
+	asked  map[Attempt]time.Time
+	number uint64
 	used   time.Time
+	sought time.Time
+	needed int64
 }
 
-// idleAfter is the time without a request after which a VM lends all it has.
-const idleAfter = time.Second
+const (
+	// idleAfter is the time without a request after which a VM lends all it has.
+	idleAfter = time.Second
+	// seekPeriod is the least time between two searches for loans.
+	seekPeriod = 100 * time.Millisecond
+	// renewAhead is how long before its end a loan is renewed.
+	renewAhead = 2 * time.Second
+	// reserve is the number of requests for which an account keeps tokens.
+	reserve = 4
+)
 
 // NewAccount returns an account without parts and tokens.
 func NewAccount(limit Limit, now time.Time) *Account {
@@ -42,7 +35,7 @@
 		limit:  limit,
 		ledger: NewLedger[Parts](),
 		bucket: NewBucket(limit.Share(0), now),
-		asked:  map[LoanID]time.Time{},
+		asked:  map[Attempt]time.Time{},
 	}
 }
 
@@ -64,7 +57,7 @@
 // Take uses weight scaled units and reports whether there were enough.
 func (a *Account) Take(weight int64, now time.Time) bool {
 	a.advance(now)
-	a.used = now
+	a.used, a.needed = now, weight
 	return a.bucket.Take(weight, now)
 }
 
@@ -92,57 +85,118 @@
 	a.share(now)
 }
 
-// Ask notes that a loan is asked for at the time, before the message is sent.
-func (a *Account) Ask(id LoanID, now time.Time) {
-	a.asked[id] = now
+// Short reports whether tokens run low that loans could bring.
+func (a *Account) Short(now time.Time) bool {
+	a.advance(now)
+	low := a.bucket.level < max(reserve*a.needed, a.bucket.share.burst/2)
+	return low && a.ledger.Usable() < Whole
 }
 
-// Forget ends the wait for a loan; a late answer is then left unused.
-func (a *Account) Forget(id LoanID) {
-	delete(a.asked, id)
+// Low reports whether loans are to be asked for. It is true at most once a period.
+func (a *Account) Low(now time.Time) bool {
+	if now.Sub(a.sought) < seekPeriod || !a.Short(now) {
+		return false
+	}
+	a.sought = now
+	return true
+}
+
+// Renewals returns the loans that are in use and end soon.
+func (a *Account) Renewals(now time.Time) []LoanID {
+	if a.used.IsZero() || now.Sub(a.used) > renewAhead {
+		return nil
+	}
+	ids := []LoanID{}
+	for id, loan := range a.ledger.loans {
+		if loan.end.Sub(now) < renewAhead {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Idle reports whether nothing is borrowed or lent.
+func (a *Account) Idle(now time.Time) bool {
+	a.advance(now)
+	return len(a.ledger.loans) == 0 && len(a.ledger.debts) == 0
 }
 
-// Lend debits and returns a loan of up to wanted tokens with the parts that
-// bear them. The same message again gets the same loan.
-func (a *Account) Lend(id LoanID, wanted int64, lease time.Duration, now time.Time) Loan {
+// Surrender gives up all grants; what was lent stays lent until it lapses.
+func (a *Account) Surrender(now time.Time) {
 	a.advance(now)
+	a.ledger.surrender()
+	a.share(now)
+}
+
+// Ask notes, before the message is sent, that a loan is asked for or renewed.
+func (a *Account) Ask(id LoanID, now time.Time) Attempt {
+	a.number++
+	attempt := Attempt{id: id, number: a.number}
+	a.asked[attempt] = now
+	return attempt
+}
+
+// Lend debits and returns a loan with all parts that can be spared, or half of
+// them while the VM uses them itself. The same name again renews the loan; the
+// tokens are given once only, so that they are lost if the first answer is.
+func (a *Account) Lend(id LoanID, lease time.Duration, now time.Time) Loan {
+	a.advance(now)
+	end := GiverEnd(now, lease)
 	if debt, ok := a.ledger.debts[id]; ok {
-		return NewLoan(debt.amount, debt.tokens, debt.lease)
+		return a.renew(id, debt, end, now)
 	}
-	end := GiverEnd(now, lease)
-	parts := a.partsFor(wanted, end, now)
+	parts := a.spare(end, now)
 	if parts <= 0 {
 		return Loan{}
 	}
 	tokens := min(a.bucket.level, a.limit.BurstOf(parts))
 	a.bucket.level -= tokens
-	a.ledger.lend(id, entry[Parts]{amount: parts, tokens: tokens, lease: lease, end: end})
+	debt := entry[Parts]{amount: parts, lease: lease, end: end}
+	a.ledger.lend(id, debt)
 	a.share(now)
-	return NewLoan(parts, tokens, lease)
+	return brloan.NewLoan(parts, tokens, a.limit.denomination, lease)
 }
 
-// Borrow credits a loan that was asked for and reports whether it did. Repeated,
+// renew extends a debt where the grants behind it last as long and the VM does
+// not need it back.
+func (a *Account) renew(id LoanID, debt entry[Parts], end, now time.Time) Loan {
+	backed := a.ledger.granted(end) >= a.ledger.lent()
+	short := now.Sub(a.used) < idleAfter && a.bucket.level < a.needed
+	if !backed || short {
+		return Loan{}
+	}
+	if end.After(debt.end) {
+		debt.end = end
+	}
+	a.ledger.lend(id, debt)
+	return brloan.NewLoan(debt.amount, 0, a.limit.denomination, debt.lease)
+}
+
+// Borrow credits the answer to an attempt and reports whether it did. Repeated,
 // late and unasked answers change nothing.
-func (a *Account) Borrow(id LoanID, loan Loan, now time.Time) bool {
+func (a *Account) Borrow(attempt Attempt, loan Loan, now time.Time) bool {
 	a.advance(now)
-	asked, ok := a.asked[id]
-	delete(a.asked, id)
-	end := HolderEnd(asked, loan.lease)
-	if !ok || loan.parts <= 0 || !now.Before(end) {
+	asked, ok := a.asked[attempt]
+	delete(a.asked, attempt)
+	end := HolderEnd(asked, loan.Lease())
+	if !ok || loan.Parts() <= 0 || !now.Before(end) {
 		return false
 	}
-	a.ledger.borrow(id, entry[Parts]{amount: loan.parts, tokens: loan.tokens, lease: loan.lease, end: end})
+	if held, ok := a.ledger.loans[attempt.id]; ok && held.end.After(end) {
+		end = held.end
+	}
+	a.ledger.borrow(attempt.id, entry[Parts]{amount: loan.Parts(), lease: loan.Lease(), end: end})
 	a.share(now)
-	a.bucket.level = min(a.bucket.level+min(loan.tokens, a.limit.BurstOf(loan.parts)), a.bucket.share.burst)
+	if loan.Denomination() != a.limit.denomination {
+		return true
+	}
+	tokens := min(loan.Tokens(), a.limit.BurstOf(loan.Parts()))
+	a.bucket.level = min(a.bucket.level+tokens, a.bucket.share.burst)
 	return true
 }
 
-// partsFor returns all that can be lent where the VM is idle, else half.
-func (a *Account) partsFor(wanted int64, end, now time.Time) Parts {
+func (a *Account) spare(end, now time.Time) Parts {
 	lendable := min(a.ledger.Lendable(end), a.ledger.Usable())
-	if wanted <= 0 {
-		return 0
-	}
 	if !a.used.IsZero() && now.Sub(a.used) < idleAfter {
 		return lendable / 2
 	}
@@ -154,7 +208,6 @@
 func (a *Account) advance(now time.Time) {
 	for a.ledger.Due(now) {
 		lapsed := a.ledger.Next()
-		a.bucket.refill(lapsed)
 		a.ledger.Lapse(lapsed)
 		a.share(lapsed)
 	}
--- a/internal/decide/brshare/ledger.go
+++ b/internal/decide/brshare/ledger.go
@@ -1,32 +1,21 @@
 package brshare
 
-import "time"
+import (
+	"time"
+
+	"bergamotroad.example/bergamotroad/internal/model/brloan"
+)
 
 // Quantity is what a ledger counts: parts of a limit, slots, bytes.
 type Quantity interface {
 	~int64
 }
 
-// LoanID names a loan: the borrower's incarnation and its number there.
-type LoanID struct {
-	borrower string
-	number   uint64
-}
-
-// NewLoanID returns the name of a borrower's loan.
-func NewLoanID(borrower string, number uint64) LoanID {
-	return LoanID{borrower: borrower, number: number}
-}
-
-// Borrower returns the borrower's incarnation.
-func (i LoanID) Borrower() string { return i.borrower }
-
-// Number returns the loan's number among those of the borrower.
-func (i LoanID) Number() uint64 { return i.number }
+// LoanID names a loan.
+type LoanID = brloan.ID
 
 type entry[Q Quantity] struct {
 	amount Q
-	tokens int64
 	lease  time.Duration
 	end    time.Time
 }
@@ -66,7 +55,8 @@
 }
 
 // Grant sets what a slot of the platform's table gives, until its lease ends.
-// What has been lent stays backed: a grant never shrinks below it.
+// A grant that has not lapsed is replaced only by one of the same amount, so
+// that what was lent stays backed.
 func (l *Ledger[Q]) Grant(slot string, amount Q, end time.Time) {
 	l.grants[slot] = entry[Q]{amount: amount, end: end}
 	l.sum()
@@ -75,16 +65,26 @@
 // Lendable returns what can be lent until a time: what grants of that length
 // give, less all that is lent. Borrowed amounts are not lent on.
 func (l *Ledger[Q]) Lendable(end time.Time) Q {
+	return max(l.granted(end)-l.lent(), 0)
+}
+
+// granted returns what grants give that last until a time.
+func (l *Ledger[Q]) granted(end time.Time) Q {
 	var amount Q
 	for _, g := range l.grants {
 		if !g.end.Before(end) {
 			amount += g.amount
 		}
 	}
+	return amount
+}
+
+func (l *Ledger[Q]) lent() Q {
+	var amount Q
 	for _, d := range l.debts {
-		amount -= d.amount
+		amount += d.amount
 	}
-	return max(amount, 0)
+	return amount
 }
 
 func (l *Ledger[Q]) lend(id LoanID, debt entry[Q]) {
@@ -97,6 +97,11 @@
 	l.sum()
 }
 
+func (l *Ledger[Q]) surrender() {
+	clear(l.grants)
+	l.sum()
+}
+
 // sum computes anew what is usable and when that changes next.
 func (l *Ledger[Q]) sum() {
 	l.usable, l.next = 0, time.Time{}
--- a/internal/decide/brshare/limit.go
+++ b/internal/decide/brshare/limit.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -24,6 +25,8 @@
 
 // Limit is the rate and burst of one contract in scaled units.
 type Limit struct {
+	unit           string
+	denomination   string
 	scale          brunit.Scale
 	perPeriod      int64
 	period         time.Duration
@@ -46,7 +49,13 @@
 	if err != nil {
 		return Limit{}, errors.Errorf("rate, burst and weights have no common scale: %w", err)
 	}
-	limit := Limit{scale: scale, period: contract.Period(), weights: make(map[string]int64, len(unit.Weights()))}
+	limit := Limit{
+		unit:         unit.Name(),
+		denomination: unit.Name() + "*" + strconv.FormatInt(scale.Factor(), 10),
+		scale:        scale,
+		period:       contract.Period(),
+		weights:      make(map[string]int64, len(unit.Weights())),
+	}
 	if limit.perPeriod, err = positive(scale, contract.Rate()); err != nil {
 		return Limit{}, errors.Errorf("rate: %w", err)
 	}
@@ -81,6 +90,9 @@
 	return nil
 }
 
+// Denomination names what tokens of the limit are worth: unit and scale.
+func (l Limit) Denomination() string { return l.denomination }
+
 // Scale returns the scale of the limit's amounts.
 func (l Limit) Scale() brunit.Scale { return l.scale }
 
@@ -115,8 +127,11 @@
 }
 
 // convert returns a level of the earlier limit in the scale of this one,
-// rounded down.
+// rounded down; of another unit it is nothing.
 func (l Limit) convert(level int64, earlier Limit) int64 {
+	if l.unit != earlier.unit {
+		return 0
+	}
 	if l.scale == earlier.scale {
 		return level
 	}
--- /dev/null
+++ b/internal/decide/brshare/roster.go
@@ -0,0 +1,89 @@
+package brshare
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brdivision"
+)
+
+const (
+	// candidates is the number of VMs of a failure domain that look after its pool.
+	candidates = 4
+	// maxNeighbours and maxStrangers bound the VMs that are asked for loans, in
+	// the own failure domain and in others.
+	maxNeighbours = 16
+	maxStrangers  = 16
+)
+
+// Roster is what the configuration says of the VMs and failure domains, as
+// seen by one VM. It is immutable.
+type Roster struct {
+	candidate bool
+	vms       int
+	target    Parts
+	lenders   []brconfig.VM
+}
+
+// NewRoster returns the roster for a VM of a failure domain.
+func NewRoster(snapshot *brconfig.Snapshot, vm, domain string) Roster {
+	neighbours, strangers := vmsByDomain(snapshot, domain)
+	slices.SortFunc(strangers, byRank(vm))
+	slices.SortFunc(neighbours, byRank(domain))
+	rank := slices.IndexFunc(neighbours, func(v brconfig.VM) bool { return v.Name() == vm })
+	r := Roster{candidate: rank < candidates, vms: len(neighbours), target: targetOf(snapshot, domain)}
+	neighbours = slices.DeleteFunc(neighbours, func(v brconfig.VM) bool { return v.Name() == vm })
+	r.lenders = slices.Concat(neighbours[:min(len(neighbours), maxNeighbours)], strangers[:min(len(strangers), maxStrangers)])
+	return r
+}
+
+// Candidate reports whether the VM may hold the pool of its failure domain.
+func (r Roster) Candidate() bool { return r.candidate }
+
+// VMs returns the number of VMs of the failure domain.
+func (r Roster) VMs() int { return r.vms }
+
+// Target returns the parts that the failure domain ought to have.
+func (r Roster) Target() Parts { return r.target }
+
+// Lenders returns the VMs to ask for loans, those of the own failure domain
+// first. The caller must not change the slice.
+func (r Roster) Lenders() []brconfig.VM { return r.lenders }
+
+func vmsByDomain(snapshot *brconfig.Snapshot, domain string) (neighbours, strangers []brconfig.VM) {
+	for v := range snapshot.VMs().All() {
+		site, _ := snapshot.Sites().Get(v.Site()).Get()
+		if site.Domain() == domain {
+			neighbours = append(neighbours, v)
+		} else {
+			strangers = append(strangers, v)
+		}
+	}
+	return neighbours, strangers
+}
+
+// targetOf gives each failure domain the same, the first ones what remains.
+func targetOf(snapshot *brconfig.Snapshot, domain string) Parts {
+	index := 0
+	for d := range snapshot.Domains().All() {
+		if d.Name() == domain {
+			return brdivision.Even(Whole, index, snapshot.Domains().Len())
+		}
+		index++
+	}
+	return 0
+}
+
+// byRank orders VMs by rendezvous hash.
+func byRank(key string) func(a, b brconfig.VM) int {
+	rank := func(v brconfig.VM) uint64 {
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(v.Name() + "\x00" + key))
+		return h.Sum64()
+	}
+	return func(a, b brconfig.VM) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.Name(), b.Name()))
+	}
+}
--- a/internal/decide/brshare/tenancy.go
+++ b/internal/decide/brshare/tenancy.go
@@ -40,15 +40,8 @@
 	return NewTerms(DefaultPoolLease, DefaultFloorLease, DefaultFloorShare)
 }
 
-// Layout is how a failure domain's parts ought to be divided.
-type Layout struct {
-	parts  Parts
-	floors int
-}
-
-// NewLayout returns a layout of so many parts with a floor for each VM.
-func NewLayout(parts Parts, floors int) Layout {
-	return Layout{parts: parts, floors: max(floors, 1)}
+func (t Terms) floorSize(parts Parts, floors int) Parts {
+	return parts * Parts(t.floorShare) / 100 / Parts(floors)
 }
 
 // Tenancy decides what one process does to the row of its failure domain.
@@ -59,6 +52,7 @@
 	seen    map[string]sighting
 	renewed map[string]time.Time
 	leaving bool
+	floored bool
 }
 
 type sighting struct {
@@ -100,6 +94,7 @@
 // from asked, a time before the row was read.
 func (t *Tenancy) Committed(before, row brdivision.Row, asked time.Time) []Grant {
 	grants := []Grant{}
+	t.floored = slices.ContainsFunc(row.Slots(), t.holdsFloor)
 	for _, s := range row.Slots() {
 		if s.Holder() != t.holder || t.unchanged(before, s) {
 			continue
@@ -110,9 +105,23 @@
 	return grants
 }
 
+// Floored reports whether the row that was last written gives the process a floor.
+func (t *Tenancy) Floored() bool { return t.floored }
+
 // Leave makes the process take and renew nothing more.
 func (t *Tenancy) Leave() { t.leaving = true }
 
+// Vacate returns the row with the process's slots given back. What they gave
+// must not be in use any more, here or by those it was lent to.
+func (t *Tenancy) Vacate(row brdivision.Row) brdivision.Row {
+	for _, s := range row.Slots() {
+		if s.Holder() == t.holder {
+			row = row.Replace(s.Vacated())
+		}
+	}
+	return row
+}
+
 // Grant is what a slot gives its holder until its lease ends.
 type Grant struct {
 	slot  string
@@ -148,7 +157,7 @@
 // runs out, and whoever takes it next divides anew what is free then.
 func (t *Tenancy) renewalDue(slot brdivision.Slot, row brdivision.Row, layout Layout, now time.Time) bool {
 	if slot.Name() == brdivision.PoolSlot {
-		return row.Parts() == layout.parts && len(row.Slots()) == layout.floors+1
+		return t.settled(row, layout)
 	}
 	if !t.holdsFloor(slot) && row.Waiting() {
 		return false
@@ -157,6 +166,21 @@
 	return !ok || now.Sub(renewed) >= slot.Lease()/floorRenewals
 }
 
+// settled reports whether dividing the row anew would bring it no nearer to the layout.
+func (t *Tenancy) settled(row brdivision.Row, layout Layout) bool {
+	var pool, floors Parts
+	for _, s := range row.Slots() {
+		if s.Name() == brdivision.PoolSlot {
+			pool = s.Parts()
+		} else {
+			floors += s.Parts()
+		}
+	}
+	size := t.terms.floorSize(layout.parts, layout.floors)
+	enough := len(row.Slots()) > layout.floors || pool < size
+	return enough && (row.Parts() == layout.parts || floors >= layout.parts)
+}
+
 // takeFloor takes one vacant floor where the process has none. The holder of
 // the pool takes the others too, under the pool's lease, so that the parts of
 // VMs that do not run are used; it lets go of them once a VM waits for a floor.
@@ -206,7 +230,11 @@
 			free -= s.Parts()
 		}
 	}
-	size := layout.parts * Parts(t.terms.floorShare) / 100 / Parts(layout.floors)
+	parts := layout.parts
+	if free < 0 {
+		parts, free = parts-free, 0
+	}
+	size := t.terms.floorSize(parts, layout.floors)
 	for i := 0; len(floors) < layout.floors && free >= size; i++ {
 		name := "floor-" + strconv.Itoa(i)
 		if slices.ContainsFunc(floors, func(s brdivision.Slot) bool { return s.Name() == name }) {
@@ -215,11 +243,8 @@
 		floors = append(floors, brdivision.NewSlot(name, size).WithSequence(sequence))
 		free -= size
 	}
-	if free < 0 {
-		return row
-	}
 	taken := brdivision.NewSlot(brdivision.PoolSlot, free).WithSequence(sequence).Held(t.holder, t.vm, t.terms.poolLease)
-	next, err := brdivision.NewRow(layout.parts, append([]brdivision.Slot{taken}, floors...)...)
+	next, err := brdivision.NewRow(parts, append([]brdivision.Slot{taken}, floors...)...)
 	if err != nil {
 		return row
 	}
--- /dev/null
+++ b/internal/duty/bradmission/control.go
@@ -0,0 +1,86 @@
+package bradmission
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/core/brring"
+	"bergamotroad.example/bergamotroad/internal/decide/brshare"
+	"bergamotroad.example/bergamotroad/internal/model/brloan"
+)
+
+// control is a message about shares. It runs on the duty's goroutine.
+type control func(h *handler)
+
+// SeekFrom sets where loans are looked for. It is called before the duty starts.
+func (a *Admission) SeekFrom(seeker Seeker) { a.handler.limits.seeker = seeker }
+
+// Grant tells what slots of the platform's table give to this VM.
+func (a *Admission) Grant(grants []brshare.Grant) error {
+	err := a.duty.Queue().Send(message{control: func(h *handler) { h.limits.grant(grants) }})
+	if err != nil {
+		return errors.Errorf("grant parts: %w", err)
+	}
+	return nil
+}
+
+// Surrender gives up all parts and reports whether none is lent any more.
+func (a *Admission) Surrender(ctx context.Context) (bool, error) {
+	return ask(ctx, a, a.booleans, func(h *handler) bool { return h.limits.surrender() })
+}
+
+// Lend gives another VM a loan or renews it; a loan without parts is a refusal.
+func (a *Admission) Lend(ctx context.Context, request brloan.Request) (brloan.Loan, error) {
+	return ask(ctx, a, a.loans, func(h *handler) brloan.Loan { return h.limits.lend(request) })
+}
+
+// Ask notes that another VM is about to be asked for a loan.
+func (a *Admission) Ask(ctx context.Context, organisation string, id brloan.ID) (brshare.Attempt, error) {
+	return ask(ctx, a, a.attempts, func(h *handler) brshare.Attempt {
+		account, ok := h.limits.accounts[organisation]
+		if !ok {
+			return brshare.Attempt{}
+		}
+		return account.Ask(id, h.clock.Now())
+	})
+}
+
+// Borrow credits the answer to an attempt and reports whether more is needed. A
+// refusal ends the attempt.
+func (a *Admission) Borrow(ctx context.Context, organisation string, attempt brshare.Attempt, loan brloan.Loan) (bool, error) {
+	return ask(ctx, a, a.booleans, func(h *handler) bool {
+		account, ok := h.limits.accounts[organisation]
+		if !ok {
+			return false
+		}
+		now := h.clock.Now()
+		account.Borrow(attempt, loan, now)
+		h.retryParked(organisation)
+		return account.Short(now)
+	})
+}
+
+// Sought tells that a search for loans has ended.
+func (a *Admission) Sought(organisation string) error {
+	err := a.duty.Queue().Send(message{control: func(h *handler) {
+		if account, ok := h.limits.accounts[organisation]; ok {
+			account.seeking = false
+		}
+		h.answerParked(organisation)
+	}})
+	if err != nil {
+		return errors.Errorf("end search for loans: %w", err)
+	}
+	return nil
+}
+
+func ask[T any](ctx context.Context, a *Admission, pool *brring.ReplyPool[T], question func(h *handler) T) (T, error) {
+	answer, err := brring.Ask(ctx, a.duty.Queue(), pool, func(reply brring.Reply[T]) message {
+		return message{control: func(h *handler) { reply.Answer(question(h)) }}
+	})
+	if err != nil {
+		return answer, errors.Errorf("ask admission: %w", err)
+	}
+	return answer, nil
+}
--- a/internal/duty/bradmission/duty.go
+++ b/internal/duty/bradmission/duty.go
@@ -22,13 +22,19 @@
 	"bergamotroad.example/bergamotroad/internal/core/brring"
 	"bergamotroad.example/bergamotroad/internal/decide/brkey"
 	"bergamotroad.example/bergamotroad/internal/decide/brroute"
+	"bergamotroad.example/bergamotroad/internal/decide/brshare"
 	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brloan"
 	"bergamotroad.example/bergamotroad/internal/model/brrequest"
 )
 
-const queueCapacity = 4096 // requests
+const (
+	queueCapacity = 4096 // messages
+	tickPeriod    = 50 * time.Millisecond
+)
 
 type message struct {
+	control control
 	request brrequest.Request
 	reply   brring.Reply[brrequest.Verdict]
 }
@@ -36,15 +42,23 @@
 // Admission is the duty with the calls that reach it.
 type Admission struct {
 	duty     *brduty.Duty[message, *brconfig.Snapshot]
+	handler  *handler
 	verdicts *brring.ReplyPool[brrequest.Verdict]
+	booleans *brring.ReplyPool[bool]
+	loans    *brring.ReplyPool[brloan.Loan]
+	attempts *brring.ReplyPool[brshare.Attempt]
 }
 
 // New returns the duty; it refuses everything before the first snapshot.
 func New(clock brclock.Clock) *Admission {
-	h := &handler{clock: clock}
+	h := &handler{clock: clock, limits: newLimits(clock)}
 	return &Admission{
-		duty:     brduty.New("admission", h, clock, brduty.WithCapacity(queueCapacity)),
+		duty:     brduty.New("admission", h, clock, brduty.WithCapacity(queueCapacity), brduty.WithPeriod(tickPeriod)),
+		handler:  h,
 		verdicts: brring.NewReplyPool[brrequest.Verdict](),
+		booleans: brring.NewReplyPool[bool](),
+		loans:    brring.NewReplyPool[brloan.Loan](),
+		attempts: brring.NewReplyPool[brshare.Attempt](),
 	}
 }
 
@@ -73,11 +87,20 @@
 	snapshot *brconfig.Snapshot
 	keys     *brkey.Keychain
 	routes   *brroute.Matcher
+	limits   *limits
+	parked   []parked
 }
 
-// Handle answers one request.
+// Handle answers one request, or takes a message about shares.
 func (h *handler) Handle(_ context.Context, m message) {
-	m.reply.Answer(h.verdict(m.request))
+	if m.control != nil {
+		m.control(h)
+		return
+	}
+	verdict := h.verdict(m.request)
+	if !h.park(m, verdict) {
+		m.reply.Answer(verdict)
+	}
 }
 
 // Update takes a new configuration.
@@ -85,10 +108,14 @@
 	h.snapshot = snapshot
 	h.keys = brkey.NewKeychain(snapshot)
 	h.routes = brroute.NewMatcher(snapshot)
+	h.limits.update(snapshot)
 }
 
-// Tick does nothing yet.
-func (*handler) Tick(context.Context, time.Time) {}
+// Tick renews loans and answers requests that have waited for loans.
+func (h *handler) Tick(_ context.Context, now time.Time) {
+	h.limits.renew(now)
+	h.expireParked(now)
+}
 
 func (h *handler) verdict(request brrequest.Request) brrequest.Verdict {
 	if h.snapshot == nil {
@@ -105,6 +132,9 @@
 	if !ok && !route.Open() {
 		return brrequest.Refuse(brrequest.ReasonUnknownKey, "", 0)
 	}
+	if refusal, refused := h.limits.refuse(organisation, route); refused {
+		return refusal
+	}
 	return brrequest.Admit(organisation, route, h.snapshot.Generation())
 }
 
--- /dev/null
+++ b/internal/duty/brlending/fleet_test.go
@@ -0,0 +1,241 @@
+package brlending_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/core/brduty"
+	"bergamotroad.example/bergamotroad/internal/duty/bradmission"
+	"bergamotroad.example/bergamotroad/internal/duty/brlending"
+	"bergamotroad.example/bergamotroad/internal/duty/brtenancy"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brloan"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+	"bergamotroad.example/bergamotroad/internal/model/brunit"
+	"bergamotroad.example/bergamotroad/internal/peer/brtable"
+)
+
+const (
+	localDelay  = 500 * time.Microsecond // there and back, in a failure domain
+	remoteDelay = 24 * time.Millisecond  // there and back, between regions
+)
+
+var errCut = errors.New("cut off")
+
+// memoryTable is a table service in memory.
+type memoryTable struct {
+	mutex   sync.Mutex
+	rows    map[string]brtable.Row
+	commits int
+	version int64
+}
+
+func (m *memoryTable) Read(_ context.Context, key string) (brtable.Row, error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	row, ok := m.rows[key]
+	if !ok {
+		return brtable.Row{}, brtable.NewErrRowNotExist(key)
+	}
+	return row, nil
+}
+
+func (*memoryTable) Scan(context.Context, string) ([]brtable.Row, error) { return nil, nil }
+
+func (m *memoryTable) Commit(_ context.Context, transaction brtable.Transaction) error {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for _, p := range transaction.Preconditions() {
+		if m.rows[p.Key()].Version() != p.Version() {
+			return brtable.ErrPrecondition{}
+		}
+	}
+	m.version++
+	m.commits++
+	for _, w := range transaction.Writes() {
+		m.rows[w.Key()] = brtable.NewRow(w.Key(), w.Value(), m.version)
+	}
+	return nil
+}
+
+// fleet is a number of VMs with their duties, joined by a network with delays.
+type fleet struct {
+	t     *testing.T
+	table *memoryTable
+	vms   []*vm
+	cut   map[string]bool // failure domains that are cut off from all else
+}
+
+type vm struct {
+	fleet     *fleet
+	name      string
+	domain    string
+	admission *bradmission.Admission
+	tenancy   *brtenancy.Tenancy
+	lending   *brlending.Lending
+	group     *brduty.Group
+	down      bool
+}
+
+// cutTable is the table as a VM sees it.
+type cutTable struct {
+	*memoryTable
+	vm *vm
+}
+
+func (c cutTable) Read(ctx context.Context, key string) (brtable.Row, error) {
+	time.Sleep(remoteDelay)
+	if c.vm.fleet.cut[c.vm.domain] {
+		return brtable.Row{}, brtable.NewErrUnavailable(errCut)
+	}
+	return c.memoryTable.Read(ctx, key)
+}
+
+func (c cutTable) Commit(ctx context.Context, transaction brtable.Transaction) error {
+	time.Sleep(remoteDelay)
+	if c.vm.fleet.cut[c.vm.domain] {
+		return brtable.NewErrUnavailable(errCut)
+	}
+	return c.memoryTable.Commit(ctx, transaction)
+}
+
+// path is the way from one VM to another.
+type path struct{ from, to *vm }
+
+func (p path) Lend(ctx context.Context, request brloan.Request) (brloan.Loan, error) {
+	delay := localDelay
+	if p.from.domain != p.to.domain {
+		delay = remoteDelay
+	}
+	time.Sleep(delay)
+	cut := p.from.domain != p.to.domain && (p.from.fleet.cut[p.from.domain] || p.from.fleet.cut[p.to.domain])
+	if p.to.down || cut {
+		<-ctx.Done()
+		return brloan.Loan{}, errCut
+	}
+	return p.to.admission.Lend(ctx, request)
+}
+
+type silent struct{}
+
+func (silent) DutyStalled(string, int)          {}
+func (silent) DutyPanicked(string, any, []byte) {}
+
+func newFleet(t *testing.T, count, domains int, snapshot *brconfig.Snapshot) *fleet {
+	f := &fleet{t: t, table: &memoryTable{rows: map[string]brtable.Row{}}, cut: map[string]bool{}}
+	for i := range count {
+		f.vms = append(f.vms, &vm{fleet: f, name: fmt.Sprint("vm-", i), domain: fmt.Sprint("domain-", i%domains)})
+	}
+	for _, v := range f.vms {
+		v.start(snapshot)
+	}
+	time.Sleep(30 * time.Second)
+	return f
+}
+
+func (v *vm) start(snapshot *brconfig.Snapshot) {
+	clock := brclock.NewSystem()
+	incarnation := fmt.Sprint(v.name, "/", clock.Now().UnixNano())
+	v.admission = bradmission.New(clock)
+	v.tenancy = brtenancy.New(incarnation, v.name, v.domain, clock, cutTable{v.fleet.table, v}, v.admission, log.New(io.Discard))
+	v.lending = brlending.New(incarnation, v.name, v.domain, clock, v.admission, func(address string) brlending.Lender {
+		return path{from: v, to: v.fleet.find(address)}
+	})
+	v.admission.SeekFrom(v.lending)
+	v.group = brduty.NewGroup(context.Background(), clock, silent{})
+	v.group.Start(v.admission.Duty(), v.tenancy.Duty(), v.lending.Duty())
+	_ = v.admission.Snapshots().Send(snapshot)
+	_ = v.lending.Snapshots().Send(snapshot)
+	_ = v.tenancy.Snapshots().Send(snapshot)
+}
+
+func (f *fleet) find(address string) *vm {
+	for _, v := range f.vms {
+		if v.name == address {
+			return v
+		}
+	}
+	return nil
+}
+
+func (f *fleet) stop() {
+	for _, v := range f.vms {
+		v.group.Stop()
+	}
+}
+
+// crash stops a VM without notice.
+func (v *vm) crash() {
+	v.down = true
+	v.group.Stop()
+}
+
+func (v *vm) admits() bool {
+	request := brrequest.New("1", "GET", "/", netipAny).WithKeyHash(brrequest.HashKey("key"))
+	verdict, err := v.admission.Admit(context.Background(), request)
+	require.NoError(v.fleet.t, err)
+	return verdict.Admitted()
+}
+
+func configuration(t *testing.T, count, domains int, rate, burst string, period time.Duration) *brconfig.Snapshot {
+	amount := func(text string) brunit.Amount {
+		a, err := brunit.Parse(text)
+		require.NoError(t, err)
+		return a
+	}
+	meta := brconfig.NewMeta
+	hash := brrequest.HashKey("key")
+	changes := []brconfig.Change{
+		brconfig.Put(brconfig.NewRegion(meta("region"))),
+		brconfig.Put(brconfig.NewOrganisation(meta("taller"))),
+		brconfig.Put(brconfig.NewKey(meta("key"), "taller", fmt.Sprintf("%x", hash[:]))),
+		brconfig.Put(brconfig.NewUnit(meta("unit"), amount("1"))),
+		brconfig.Put(brconfig.NewContract(meta("contract"), "taller", "unit", amount(rate), period, amount(burst))),
+		brconfig.Put(brconfig.NewService(meta("service"))),
+		brconfig.Put(brconfig.NewRoute(meta("route"), "service", "/")),
+	}
+	for i := range domains {
+		name := fmt.Sprint("domain-", i)
+		changes = append(changes, brconfig.Put(brconfig.NewDomain(meta(name), "region")), brconfig.Put(brconfig.NewSite(meta(name), name)))
+	}
+	for i := range count {
+		name := fmt.Sprint("vm-", i)
+		changes = append(changes, brconfig.Put(brconfig.NewVM(meta(name), fmt.Sprint("domain-", i%domains), name, name)))
+	}
+	snapshot, err := brconfig.NewSnapshot().Apply(1, changes)
+	require.NoError(t, err)
+	return snapshot
+}
+
+// run sends requests at an even pace to the VM that place names, and returns
+// how many were sent and how many refused.
+func (f *fleet) run(d, interval time.Duration, place func(elapsed time.Duration) int) (sent, refused int) {
+	begin := time.Now()
+	for next := time.Duration(0); next < d; next += interval {
+		time.Sleep(time.Until(begin.Add(next)))
+		sent++
+		if !f.vms[place(next)].admits() {
+			refused++
+		}
+	}
+	return sent, refused
+}
+
+func inBubble(t *testing.T, count, domains int, rate, burst string, period time.Duration, test func(t *testing.T, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, count, domains, configuration(t, count, domains, rate, burst, period))
+		defer f.stop()
+		test(t, f)
+	})
+}
--- /dev/null
+++ b/internal/peer/brentry/lend.go
@@ -0,0 +1,55 @@
+package brentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/model/brloan"
+	"bergamotroad.example/bergamotroad/internal/peer/brentrypb"
+)
+
+// maxLoanLease bounds the lease that another VM may ask for.
+const maxLoanLease = 10 * time.Second
+
+// Lender gives loans of this VM's parts.
+type Lender interface {
+	// Lend gives or renews a loan; a loan without parts is a refusal.
+	Lend(ctx context.Context, request brloan.Request) (brloan.Loan, error)
+}
+
+type lendServer struct {
+	lender Lender
+}
+
+// Lend gives or renews a loan.
+func (s *lendServer) Lend(ctx context.Context, request *brentrypb.LendRequest) (*brentrypb.LendReply, error) {
+	lease := min(time.Duration(request.GetLeaseMilliseconds())*time.Millisecond, maxLoanLease)
+	id := brloan.NewID(request.GetBorrower(), request.GetNumber())
+	loan, err := s.lender.Lend(ctx, brloan.NewRequest(id, request.GetOrganisation(), lease))
+	if err != nil {
+		return nil, errors.Errorf("lend: %w", err)
+	}
+	return &brentrypb.LendReply{
+		Parts:             int64(loan.Parts()),
+		Tokens:            loan.Tokens(),
+		Denomination:      loan.Denomination(),
+		LeaseMilliseconds: uint32(loan.Lease().Milliseconds()),
+	}, nil
+}
+
+// Lend asks the other VM for a loan or for its renewal.
+func (p *Peer) Lend(ctx context.Context, request brloan.Request) (brloan.Loan, error) {
+	reply, err := p.lending.Lend(ctx, &brentrypb.LendRequest{
+		Borrower:          request.ID().Borrower(),
+		Number:            request.ID().Number(),
+		Organisation:      request.Organisation(),
+		LeaseMilliseconds: uint32(request.Lease().Milliseconds()),
+	})
+	if err != nil {
+		return brloan.Loan{}, errors.Errorf("ask %s for a loan: %w", p.address, err)
+	}
+	lease := time.Duration(reply.GetLeaseMilliseconds()) * time.Millisecond
+	return brloan.NewLoan(brloan.Parts(reply.GetParts()), reply.GetTokens(), reply.GetDenomination(), lease), nil
+}
--- a/internal/peer/brentry/peer.go
+++ b/internal/peer/brentry/peer.go
@@ -11,6 +11,7 @@
 	address  string
 	spread   brentrypb.Spread
 	timeline brentrypb.Timeline
+	lending  brentrypb.Lending
 }
 
 // NewPeer returns the entry VM at a base URL.
@@ -19,15 +20,18 @@
 		address:  address,
 		spread:   brentrypb.NewSpreadProtobufClient(address, client),
 		timeline: brentrypb.NewTimelineProtobufClient(address, client),
+		lending:  brentrypb.NewLendingProtobufClient(address, client),
 	}
 }
 
 // NewHandler returns the handler that answers other entry VMs.
-func NewHandler(spreading Spreading, timeline Timeline) http.Handler {
+func NewHandler(spreading Spreading, timeline Timeline, lender Lender) http.Handler {
 	mux := http.NewServeMux()
 	spread := brentrypb.NewSpreadServer(&spreadServer{spreading: spreading})
 	mux.Handle(spread.PathPrefix(), spread)
 	events := brentrypb.NewTimelineServer(&timelineServer{timeline: timeline})
 	mux.Handle(events.PathPrefix(), events)
+	lending := brentrypb.NewLendingServer(&lendServer{lender: lender})
+	mux.Handle(lending.PathPrefix(), lending)
 	return mux
 }
--- a/internal/service/bradministration/apply.go
+++ b/internal/service/bradministration/apply.go
@@ -16,6 +16,7 @@
 	"github.com/google/uuid"
 
 	"bergamotroad.example/bergamotroad/internal/codec/brdocument"
+	"bergamotroad.example/bergamotroad/internal/decide/brshare"
 	"bergamotroad.example/bergamotroad/internal/duty/brspreading"
 	"bergamotroad.example/bergamotroad/internal/model/brconfig"
 	"bergamotroad.example/bergamotroad/internal/peer/brobject"
@@ -94,7 +95,11 @@
 	if state.Head() != head {
 		return 0, a.behind(ctx, head)
 	}
-	if _, err := state.Snapshot().Apply(head.Generation()+1, changes); err != nil {
+	changed, err := state.Snapshot().Apply(head.Generation()+1, changes)
+	if err != nil {
+		return 0, errors.Errorf("check change: %w", err)
+	}
+	if err := brshare.CheckContracts(changed); err != nil {
 		return 0, errors.Errorf("check change: %w", err)
 	}
 	data, err := brdocument.EncodeDelta(brdocument.NewDelta(head, operation, author, changes))
--- a/internal/service/brnode/node.go
+++ b/internal/service/brnode/node.go
@@ -54,6 +54,7 @@
 	steering  *brsteering.Steering
 	spreading *brspreading.Spreading
 	polling   *brpolling.Polling
+	shares    shares
 	fronts    []front
 }
 
@@ -74,6 +75,7 @@
 	n.spreading.Subscribe(n.admission.Snapshots())
 	n.spreading.Subscribe(n.balancing.Snapshots())
 	n.spreading.Subscribe(n.steering.Snapshots())
+	n.addShares()
 	if err := n.addFronts(); err != nil {
 		n.closeFronts()
 		return nil, err
@@ -108,6 +110,8 @@
 		n.steering.Duty(),
 		n.spreading.Duty(),
 		n.polling.Duty(),
+		n.shares.tenancy.Duty(),
+		n.shares.lending.Duty(),
 	}
 }
 
@@ -130,7 +134,7 @@
 	}
 	return errors.Join(
 		n.addFront("callers", n.settings.Callers(), callers),
-		n.addFront("peers", n.settings.Peers(), brentry.NewHandler(n.spreading, n.timeline)),
+		n.addFront("peers", n.settings.Peers(), brentry.NewHandler(n.spreading, n.timeline, n.admission)),
 		n.addFront("operators", n.settings.Operators(), operators),
 	)
 }
@@ -182,5 +186,6 @@
 			faults = append(faults, errors.Errorf("drain %s: %w", f.name, err))
 		}
 	}
+	n.handBack(drain)
 	return errors.Join(append(faults, cause)...)
 }
--- /dev/null
+++ b/internal/service/brnode/shares.go
@@ -0,0 +1,47 @@
+package brnode
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"bergamotroad.example/bergamotroad/internal/duty/brlending"
+	"bergamotroad.example/bergamotroad/internal/duty/brtenancy"
+	"bergamotroad.example/bergamotroad/internal/peer/brentry"
+	"bergamotroad.example/bergamotroad/internal/peer/brtable"
+)
+
+// handBackTimeout bounds how long a planned stop waits for what was lent.
+const handBackTimeout = 5 * time.Second
+
+// shares are the duties that hold this VM's parts of limits.
+type shares struct {
+	tenancy *brtenancy.Tenancy
+	lending *brlending.Lending
+}
+
+func (n *Node) addShares() {
+	platform := n.settings.Platform()
+	client := &http.Client{}
+	table := brtable.NewClient(client, platform.Table(), platform.Timeout())
+	incarnation := uuid.NewString()
+	vm, domain := n.settings.VM(), n.settings.Domain()
+	n.shares.tenancy = brtenancy.New(incarnation, vm, domain, n.clock, table, n.admission, n.logger)
+	n.shares.lending = brlending.New(incarnation, vm, domain, n.clock, n.admission, func(address string) brlending.Lender {
+		return brentry.NewPeer(client, "http://"+address)
+	})
+	n.admission.SeekFrom(n.shares.lending)
+	n.spreading.Subscribe(n.shares.tenancy.Snapshots())
+	n.spreading.Subscribe(n.shares.lending.Snapshots())
+}
+
+// handBack gives this VM's parts to the others, so that they need not lapse.
+func (n *Node) handBack(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, handBackTimeout)
+	defer cancel()
+	if err := n.shares.tenancy.HandBack(limited); err != nil {
+		n.logger.Warn("shares lapse instead of being handed back", "error", err)
+	}
+}
