--- a/internal/service/brnode/duties.go
+++ b/internal/service/brnode/duties.go
@@ -12,5 +12,7 @@
 		n.steering.Duty(),
 		n.spreading.Duty(),
 		n.polling.Duty(),
+		n.shares.tenancy.Duty(),
+		n.shares.lending.Duty(),
 	)
 }
--- a/internal/service/brnode/fronts.go
+++ b/internal/service/brnode/fronts.go
@@ -48,7 +48,7 @@
 	return errors.Join(
 		n.addFront("callers", n.settings.Callers(), callers),
 		broperator.ServePoison(operators, n.requests.poisoning),
-		n.addFront("peers", n.settings.Peers(), n.requests.front(brentry.NewHandler(n.spreading, n.timeline), n.clock, dispatcher)),
+		n.addFront("peers", n.settings.Peers(), n.requests.front(brentry.NewHandler(n.spreading, n.timeline, n.admission), n.clock, dispatcher)),
 		n.addFront("operators", n.settings.Operators(), operators),
 	)
 }
--- a/internal/service/brnode/node.go
+++ b/internal/service/brnode/node.go
@@ -37,6 +37,7 @@
 	spreading *brspreading.Spreading
 	polling   *brpolling.Polling
 	requests  requestDuties
+	shares    shares
 	fronts    []front
 }
 
@@ -53,6 +54,7 @@
 	n.spreading.Subscribe(n.steering.Snapshots())
 	n.requests = newRequestDuties(settings, clock, n.timeline)
 	n.requests.subscribe(n.spreading)
+	n.addShares()
 	if err := n.addFronts(); err != nil {
 		n.closeFronts()
 		return nil, err
--- a/internal/service/brnode/stop.go
+++ b/internal/service/brnode/stop.go
@@ -20,5 +20,6 @@
 			faults = append(faults, errors.Errorf("drain %s: %w", f.name, err))
 		}
 	}
+	n.handBack(drain)
 	return errors.Join(append(faults, cause)...)
 }
