--- a/internal/codec/brdocument/head.go
+++ b/internal/codec/brdocument/head.go
@@ -78,3 +78,8 @@
 func (d headDocument) head() Head {
 	return Head{generation: d.Generation, operation: d.Operation, digest: d.Digest}
 }
+
+// RestoreHead returns the head of parts that were sent by another VM.
+func RestoreHead(generation uint64, operation, digest string) Head {
+	return Head{generation: generation, operation: operation, digest: digest}
+}
--- /dev/null
+++ b/internal/decide/brspread/directory.go
@@ -0,0 +1,38 @@
+package brspread
+
+import (
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brmember"
+)
+
+// Directory returns the VMs that a configuration names. VMs that only others
+// know of, such as the platform's list or the settings, are added; a VM that
+// they know to have left is kept with that state.
+func Directory(snapshot *brconfig.Snapshot, others []brmember.Member) brmember.List {
+	members := []brmember.Member{}
+	known := map[string]int{}
+	for v := range snapshot.VMs().All() {
+		if v.PeerAddress() == "" {
+			continue
+		}
+		known[v.Name()] = len(members)
+		members = append(members, brmember.New(v.Name(), domainOf(snapshot, v), v.PeerAddress()))
+	}
+	for _, m := range others {
+		i, had := known[m.Name()]
+		if !had {
+			members = append(members, m)
+			continue
+		}
+		members[i] = members[i].WithState(m.State())
+	}
+	return brmember.NewList(members)
+}
+
+func domainOf(snapshot *brconfig.Snapshot, v brconfig.VM) string {
+	site, ok := snapshot.Sites().Get(v.Site()).Get()
+	if !ok {
+		return ""
+	}
+	return site.Domain()
+}
--- /dev/null
+++ b/internal/decide/brspread/plan.go
@@ -0,0 +1,188 @@
+// Package brspread decides how a VM learns of new configurations.
+//
+// The VMs of a failure domain are ranked by rendezvous hash. The first few
+// poll the platform; the others ask those. Nobody is elected: VMs that
+// disagree about the members poll twice or ask somebody who asks further. A VM
+// whose knowledge gets old polls by itself, the later the lower its rank, so
+// that an outage of the platform is not met by all VMs at once.
+//
+// # Usage
+//
+//	plan := brspread.NewPlan("vm-1", "montevideo-a", members)
+//	if plan.Polls(brspread.NewKnowledge(age, failures), sinceLastPoll) {
+//		// read the head
+//	}
+//	for _, source := range plan.Sources() {
+//		// ask source
+//	}
+package brspread
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bergamotroad.example/bergamotroad/internal/model/brmember"
+)
+
+const (
+	// pollers is the number of VMs of a failure domain that always poll.
+	pollers = 2
+	// deputies is the number of VMs that poll once the pollers seem to fail.
+	deputies = 8
+	// pollPeriod is the time between two polls of a VM that polls.
+	pollPeriod = time.Second
+	// StaleAfter is the age at which a VM's knowledge counts as old.
+	StaleAfter = 3 * time.Second
+	// isolatedAfter is the number of sources that fail one after the other
+	// before a VM takes itself for cut off from its neighbours.
+	isolatedAfter = 2
+	// maxForeignSources bounds the sources in other failure domains.
+	maxForeignSources = 16
+	// snapshotWriters is the number of VMs that write a due snapshot.
+	snapshotWriters = 2
+)
+
+// Knowledge is how well a VM is informed.
+type Knowledge struct {
+	age      time.Duration
+	failures int
+}
+
+// NewKnowledge returns the time since the VM's generation was known to be the
+// newest, and how many sources failed one after the other.
+func NewKnowledge(age time.Duration, failures int) Knowledge {
+	return Knowledge{age: age, failures: failures}
+}
+
+// Stale reports whether the knowledge is old.
+func (k Knowledge) Stale() bool { return k.age > StaleAfter }
+
+// Plan is one VM's part in the spreading. It is immutable.
+type Plan struct {
+	rank    int
+	sources []brmember.Member
+}
+
+// NewPlan returns the part of a VM among members. A VM that is not among them
+// is ranked as if it were.
+func NewPlan(self, domain string, members []brmember.Member) Plan {
+	byDomain := map[string][]brmember.Member{}
+	for _, m := range members {
+		if m.Name() != self && m.Usable() {
+			byDomain[m.Domain()] = append(byDomain[m.Domain()], m)
+		}
+	}
+	own := append(byDomain[domain], brmember.New(self, domain, ""))
+	ranked := ranked(domain, own)
+	rank := slices.IndexFunc(ranked, func(m brmember.Member) bool { return m.Name() == self })
+	delete(byDomain, domain)
+	return Plan{
+		rank:    rank,
+		sources: interleave(neighbours(self, slices.Delete(ranked, rank, rank+1)), foreign(self, byDomain)),
+	}
+}
+
+// Rank returns the VM's place in its failure domain, from 0.
+func (p Plan) Rank() int { return p.rank }
+
+// Poller reports whether the VM polls even when it is well informed.
+func (p Plan) Poller() bool { return p.rank < pollers }
+
+// Sources returns whom to ask, best first. The caller must not change the slice.
+func (p Plan) Sources() []brmember.Member { return p.sources }
+
+// Polls reports whether the VM reads the platform now. An isolated VM polls
+// like a poller; the others wait in proportion to their rank, so that the
+// reads of a failure domain grow with the logarithm of its size.
+func (p Plan) Polls(knowledge Knowledge, sinceLast time.Duration) bool {
+	if sinceLast < pollPeriod {
+		return false
+	}
+	if p.Poller() || len(p.sources) == 0 {
+		return true
+	}
+	if !knowledge.Stale() {
+		return false
+	}
+	if p.rank < deputies || knowledge.failures >= isolatedAfter {
+		return true
+	}
+	return sinceLast >= time.Duration(p.rank)*pollPeriod
+}
+
+// WritesSnapshot reports whether a VM writes the snapshot of a generation.
+func WritesSnapshot(self string, generation uint64, members []brmember.Member) bool {
+	own := weight(self, generation)
+	above := 0
+	for _, m := range members {
+		if m.Name() != self && m.Usable() && weight(m.Name(), generation) > own {
+			above++
+		}
+	}
+	return above < snapshotWriters
+}
+
+// neighbours puts the pollers first, in an order that differs between VMs, so
+// that the pollers share them.
+func neighbours(self string, ranked []brmember.Member) []brmember.Member {
+	sources := slices.Clone(ranked[:min(deputies, len(ranked))])
+	first := sources[:min(pollers, len(sources))]
+	slices.SortFunc(first, func(a, b brmember.Member) int { return compareHash(self, a.Name(), b.Name()) })
+	return sources
+}
+
+// foreign returns the first poller of each other failure domain, in an order
+// that differs between VMs.
+func foreign(self string, byDomain map[string][]brmember.Member) []brmember.Member {
+	sources := []brmember.Member{}
+	for domain, members := range byDomain {
+		sources = append(sources, slices.MinFunc(members, func(a, b brmember.Member) int {
+			return compareHash(domain, a.Name(), b.Name())
+		}))
+	}
+	slices.SortFunc(sources, func(a, b brmember.Member) int { return compareHash(self, a.Name(), b.Name()) })
+	return sources[:min(maxForeignSources, len(sources))]
+}
+
+// interleave keeps the pollers first and then alternates, so that a failure
+// domain that is cut off from the platform soon asks another one.
+func interleave(near, far []brmember.Member) []brmember.Member {
+	head := min(pollers, len(near))
+	sources := slices.Clone(near[:head])
+	near = near[head:]
+	for i := range max(len(near), len(far)) {
+		if i < len(far) {
+			sources = append(sources, far[i])
+		}
+		if i < len(near) {
+			sources = append(sources, near[i])
+		}
+	}
+	return sources
+}
+
+func ranked(domain string, members []brmember.Member) []brmember.Member {
+	sorted := slices.Clone(members)
+	slices.SortFunc(sorted, func(a, b brmember.Member) int { return compareHash(domain, a.Name(), b.Name()) })
+	return sorted
+}
+
+func compareHash(salt, a, b string) int {
+	if c := cmp.Compare(hash(salt, b), hash(salt, a)); c != 0 {
+		return c
+	}
+	return cmp.Compare(a, b)
+}
+
+func hash(salt, name string) uint64 {
+	return xxhash.Sum64String(salt + "\x00" + name)
+}
+
+func weight(name string, generation uint64) uint64 {
+	// An odd constant spreads neighbouring generations over all bits.
+	const spread = 0x9e3779b97f4a7c15
+	return xxhash.Sum64String(name) ^ (generation+1)*spread
+}
--- /dev/null
+++ b/internal/duty/brarchiving/duty.go
@@ -0,0 +1,138 @@
+// Package brarchiving provides the duty that writes snapshots of the
+// configuration to the object store, so that a VM that starts need not read
+// all deltas.
+//
+// Every brspreading.SnapshotInterval generations, the VMs that rank first by
+// rendezvous hash of that generation write its snapshot in pieces and then the
+// manifest that lists them. Names and content depend on the generation only:
+// writing twice changes nothing.
+//
+// # Usage
+//
+//	archiving := brarchiving.New("vm-1", clock, objects, logger)
+//	spreading.SubscribeArchive(archiving.States())
+//	membership.Subscribe(archiving.Members())
+//	group.Start(archiving.Duty())
+package brarchiving
+
+import (
+	"context"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/codec/brdocument"
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/core/brduty"
+	"bergamotroad.example/bergamotroad/internal/core/broption"
+	"bergamotroad.example/bergamotroad/internal/core/brring"
+	"bergamotroad.example/bergamotroad/internal/decide/brspread"
+	"bergamotroad.example/bergamotroad/internal/duty/brspreading"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brmember"
+	"bergamotroad.example/bergamotroad/internal/peer/brobject"
+)
+
+// tickPeriod is the time between two attempts to write.
+const tickPeriod = 2 * time.Second
+
+// Archiving is the duty.
+type Archiving struct {
+	duty   *brduty.Duty[struct{}, brspreading.State]
+	member *brring.Latest[brmember.List]
+}
+
+// New returns the duty of a VM.
+func New(vm string, clock brclock.Clock, objects brobject.Store, logger *log.Logger) *Archiving {
+	members := brring.NewLatest[brmember.List]()
+	h := &handler{vm: vm, objects: objects, logger: logger, incoming: members}
+	return &Archiving{
+		duty:   brduty.New[struct{}, brspreading.State]("archiving", h, clock, brduty.WithPeriod(tickPeriod)),
+		member: members,
+	}
+}
+
+// Duty returns the duty to be started.
+func (a *Archiving) Duty() brduty.Runner { return a.duty }
+
+// States returns the ring that takes the states whose snapshot is due.
+func (a *Archiving) States() *brring.Latest[brspreading.State] { return a.duty.Snapshots() }
+
+// Members returns the ring that takes the VMs.
+func (a *Archiving) Members() *brring.Latest[brmember.List] { return a.member }
+
+type handler struct {
+	vm       string
+	objects  brobject.Store
+	logger   *log.Logger
+	incoming *brring.Latest[brmember.List]
+	members  brmember.List
+	due      broption.Option[brspreading.State]
+}
+
+// Handle does nothing: no messages are sent to this duty.
+func (*handler) Handle(context.Context, struct{}) {}
+
+// Update takes a state whose snapshot is due.
+func (h *handler) Update(_ context.Context, state brspreading.State) {
+	h.due = broption.Some(state)
+}
+
+// Tick writes the snapshot that is due, and tries again next time where the
+// store does not take it.
+func (h *handler) Tick(ctx context.Context, _ time.Time) {
+	if members, ok := h.incoming.TryReceive(); ok {
+		h.members = members
+	}
+	state, ok := h.due.Get()
+	if !ok {
+		return
+	}
+	if brspread.WritesSnapshot(h.vm, state.Head().Generation(), h.members.All()) {
+		if err := h.write(ctx, state); err != nil {
+			h.logger.Warn("snapshot not written", "generation", state.Head().Generation(), "error", err)
+			return
+		}
+	}
+	h.due = broption.None[brspreading.State]()
+}
+
+func (h *handler) write(ctx context.Context, state brspreading.State) error {
+	_, err := h.objects.Get(ctx, brdocument.ManifestName(state.Head()))
+	if err == nil {
+		return nil
+	}
+	if !brobject.IsErrObjectNotExist(err) {
+		return errors.Errorf("look for manifest: %w", err)
+	}
+	digests, err := h.writePieces(ctx, state)
+	if err != nil {
+		return err
+	}
+	data, err := brdocument.EncodeManifest(brdocument.NewManifest(state.Head(), digests))
+	if err != nil {
+		return errors.Errorf("encode manifest: %w", err)
+	}
+	if err := h.objects.Put(ctx, brdocument.ManifestName(state.Head()), data); err != nil {
+		return errors.Errorf("write manifest: %w", err)
+	}
+	return nil
+}
+
+func (h *handler) writePieces(ctx context.Context, state brspreading.State) ([]string, error) {
+	digests := []string{}
+	after := brconfig.Reference{}
+	for more := true; more; {
+		piece, err := brdocument.EncodePiece(state.Snapshot(), after)
+		if err != nil {
+			return nil, errors.Errorf("encode piece %d: %w", len(digests), err)
+		}
+		if err := h.objects.Put(ctx, brdocument.PieceName(state.Head(), len(digests)), piece.Data()); err != nil {
+			return nil, errors.Errorf("write piece %d: %w", len(digests), err)
+		}
+		digests = append(digests, brdocument.Digest(piece.Data()))
+		after, more = piece.Last(), piece.More()
+	}
+	return digests, nil
+}
--- a/internal/duty/brpolling/duty.go
+++ b/internal/duty/brpolling/duty.go
@@ -1,20 +1,23 @@
 // Package brpolling provides the duty that reads the newest configuration from
 // the platform.
 //
-// Once a period it reads the head row; where the head is newer than what the
-// VM holds, it reads the deltas in between from the object store, newest first
-// along the chain of predecessors, checks their digests and offers them to the
-// duty that holds the configuration.
+// A few VMs of each failure domain read the head row once a second; the others
+// only when their knowledge gets old. Where the head is newer than what the VM
+// holds, the duty reads the deltas in between from the object store, newest
+// first along the chain of predecessors, checks their digests and offers them
+// to the duty that holds the configuration. A VM that is far behind takes the
+// newest snapshot on the chain instead.
 //
 // # Usage
 //
-//	polling := brpolling.New(clock, table, objects, spreading, logger)
+//	polling := brpolling.New("vm-1", "montevideo-a", clock, table, objects, spreading, logger)
+//	membership.Subscribe(polling.Members())
 //	group.Start(polling.Duty())
 package brpolling
 
 import (
 	"context"
-	"slices"
+	"math/rand/v2"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -23,94 +26,144 @@
 	"bergamotroad.example/bergamotroad/internal/codec/brdocument"
 	"bergamotroad.example/bergamotroad/internal/core/brclock"
 	"bergamotroad.example/bergamotroad/internal/core/brduty"
+	"bergamotroad.example/bergamotroad/internal/core/brring"
+	"bergamotroad.example/bergamotroad/internal/decide/brspread"
 	"bergamotroad.example/bergamotroad/internal/duty/brspreading"
+	"bergamotroad.example/bergamotroad/internal/model/brmember"
 	"bergamotroad.example/bergamotroad/internal/peer/brobject"
 	"bergamotroad.example/bergamotroad/internal/peer/brtable"
 )
 
-const pollPeriod = time.Second
+const (
+	// tickPeriod is how often the duty looks whether to poll.
+	tickPeriod = 250 * time.Millisecond
+	// firstPollSpread bounds the random time before a VM's first poll, so that
+	// a failure domain that starts at once does not read at once.
+	firstPollSpread = time.Second
+)
 
 // Polling is the duty.
 type Polling struct {
-	duty *brduty.Duty[struct{}, struct{}]
+	duty *brduty.Duty[int, brmember.List]
 }
 
-// New returns the duty that offers what it reads to spreading.
-func New(clock brclock.Clock, table brtable.Table, objects brobject.Store, spreading *brspreading.Spreading, logger *log.Logger) *Polling {
-	h := &handler{table: table, objects: objects, spreading: spreading, logger: logger}
-	return &Polling{duty: brduty.New[struct{}, struct{}]("polling", h, clock, brduty.WithPeriod(pollPeriod))}
+// New returns the duty of a VM that offers what it reads to spreading.
+func New(vm, domain string, clock brclock.Clock, table brtable.Table, objects brobject.Store, spreading *brspreading.Spreading, logger *log.Logger) *Polling {
+	h := &handler{
+		vm:        vm,
+		domain:    domain,
+		clock:     clock,
+		table:     table,
+		reader:    &reader{objects: objects},
+		spreading: spreading,
+		logger:    logger,
+		plan:      brspread.NewPlan(vm, domain, nil),
+		last:      clock.Now().Add(-rand.N(firstPollSpread)),
+	}
+	return &Polling{duty: brduty.New[int, brmember.List]("polling", h, clock, brduty.WithPeriod(tickPeriod))}
 }
 
 // Duty returns the duty to be started.
 func (p *Polling) Duty() brduty.Runner { return p.duty }
 
+// Members returns the ring that takes the VMs.
+func (p *Polling) Members() *brring.Latest[brmember.List] { return p.duty.Snapshots() }
+
+// SourcesFailed tells how many other VMs failed to answer, one after the other.
+func (p *Polling) SourcesFailed(failures int) {
+	_ = p.duty.Queue().Send(failures)
+}
+
 type handler struct {
+	vm        string
+	domain    string
+	clock     brclock.Clock
 	table     brtable.Table
-	objects   brobject.Store
+	reader    *reader
 	spreading *brspreading.Spreading
 	logger    *log.Logger
+	plan      brspread.Plan
+	failures  int
+	last      time.Time
 }
 
-// Handle does nothing: no messages are sent to this duty.
-func (*handler) Handle(context.Context, struct{}) {}
+// Handle takes the number of sources that failed.
+func (h *handler) Handle(_ context.Context, failures int) { h.failures = failures }
 
-// Update does nothing.
-func (*handler) Update(context.Context, struct{}) {}
+// Update takes the VMs.
+func (h *handler) Update(_ context.Context, members brmember.List) {
+	h.plan = brspread.NewPlan(h.vm, h.domain, members.All())
+}
 
-// Tick polls once.
-func (h *handler) Tick(ctx context.Context, _ time.Time) {
-	if err := h.poll(ctx); err != nil && ctx.Err() == nil {
+// Tick polls when it is this VM's turn.
+func (h *handler) Tick(ctx context.Context, now time.Time) {
+	state, err := h.spreading.State(ctx)
+	if err != nil {
+		return
+	}
+	knowledge := brspread.NewKnowledge(now.Sub(state.Confirmed()), h.failures)
+	if !h.plan.Polls(knowledge, now.Sub(h.last)) {
+		return
+	}
+	h.last = now
+	if err := h.poll(ctx, state); err != nil && ctx.Err() == nil {
 		h.logger.Warn("poll of configuration failed", "error", err)
 	}
 }
 
-func (h *handler) poll(ctx context.Context) error {
+func (h *handler) poll(ctx context.Context, state brspreading.State) error {
+	before := h.clock.Now()
+	head, err := h.readHead(ctx)
+	if err != nil {
+		return err
+	}
+	if head.Generation() > state.Head().Generation() {
+		if err := h.catchUp(ctx, state.Head(), head); err != nil {
+			return err
+		}
+	}
+	after, err := h.spreading.Confirm(ctx, head, before, true)
+	if err != nil {
+		return errors.Errorf("confirm head: %w", err)
+	}
+	if after.Head() != head && !before.Before(after.Confirmed()) {
+		h.logger.Error("head of the platform does not lead to this VM's configuration",
+			"generation", after.Head().Generation(), "head", head.Generation())
+	}
+	return nil
+}
+
+// readHead returns the head row; a row that does not exist is generation 0.
+func (h *handler) readHead(ctx context.Context) (brdocument.Head, error) {
 	row, err := h.table.Read(ctx, brdocument.HeadKey)
 	if brtable.IsErrRowNotExist(err) {
-		return nil
+		return brdocument.Head{}, nil
 	}
 	if err != nil {
-		return errors.Errorf("read head: %w", err)
+		return brdocument.Head{}, errors.Errorf("read head: %w", err)
 	}
 	head, err := brdocument.DecodeHead(row.Value())
 	if err != nil {
-		return errors.Errorf("decode head: %w", err)
+		return brdocument.Head{}, errors.Errorf("decode head: %w", err)
 	}
-	state, err := h.spreading.State(ctx)
+	return head, nil
+}
+
+func (h *handler) catchUp(ctx context.Context, own, head brdocument.Head) error {
+	found, err := h.reader.read(ctx, own, head)
 	if err != nil {
-		return errors.Errorf("read own generation: %w", err)
+		return errors.Errorf("read configuration up to generation %d: %w", head.Generation(), err)
 	}
-	deltas, err := h.chain(ctx, state.Head(), head)
-	if err != nil {
-		return errors.Errorf("read deltas up to generation %d: %w", head.Generation(), err)
+	if found.snapshot != nil {
+		if _, err := h.spreading.Install(ctx, found.head, found.snapshot); err != nil {
+			return errors.Errorf("install snapshot: %w", err)
+		}
 	}
-	if len(deltas) == 0 {
+	if len(found.deltas) == 0 {
 		return nil
 	}
-	if _, err := h.spreading.Offer(ctx, deltas); err != nil {
+	if _, err := h.spreading.Offer(ctx, found.deltas); err != nil {
 		return errors.Errorf("offer deltas: %w", err)
 	}
 	return nil
 }
-
-// chain returns the deltas after own up to head, oldest first.
-func (h *handler) chain(ctx context.Context, own, head brdocument.Head) ([][]byte, error) {
-	deltas := [][]byte{}
-	for head.Generation() > own.Generation() {
-		data, err := h.objects.Get(ctx, head.DeltaName())
-		if err != nil {
-			return nil, errors.Errorf("read delta: %w", err)
-		}
-		if brdocument.Digest(data) != head.Digest() {
-			return nil, errors.Errorf("delta %d has another digest than its successor says", head.Generation())
-		}
-		delta, err := brdocument.DecodeDelta(data)
-		if err != nil {
-			return nil, errors.Errorf("decode delta: %w", err)
-		}
-		deltas = append(deltas, data)
-		head = delta.Previous()
-	}
-	slices.Reverse(deltas)
-	return deltas, nil
-}
--- /dev/null
+++ b/internal/duty/brpolling/reader.go
@@ -0,0 +1,103 @@
+package brpolling
+
+import (
+	"context"
+	"slices"
+
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/codec/brdocument"
+	"bergamotroad.example/bergamotroad/internal/core/broption"
+	"bergamotroad.example/bergamotroad/internal/duty/brspreading"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/peer/brobject"
+)
+
+// reader reads configurations from the object store.
+type reader struct {
+	objects brobject.Store
+}
+
+// found is a chain of deltas, oldest first, and the snapshot that they follow
+// where the chain does not start at the VM's own head.
+type found struct {
+	head     brdocument.Head
+	snapshot *brconfig.Snapshot
+	deltas   [][]byte
+}
+
+// read walks from head back to own, or to a snapshot on the way.
+func (r *reader) read(ctx context.Context, own, head brdocument.Head) (found, error) {
+	result := found{}
+	for head.Generation() > own.Generation() {
+		if snapshot, ok := r.snapshotAt(ctx, own, head).Get(); ok {
+			result.head, result.snapshot = head, snapshot
+			break
+		}
+		data, delta, err := r.delta(ctx, head)
+		if err != nil {
+			return found{}, err
+		}
+		result.deltas = append(result.deltas, data)
+		head = delta.Previous()
+	}
+	slices.Reverse(result.deltas)
+	return result, nil
+}
+
+func (r *reader) delta(ctx context.Context, head brdocument.Head) ([]byte, brdocument.Delta, error) {
+	data, err := r.objects.Get(ctx, head.DeltaName())
+	if err != nil {
+		return nil, brdocument.Delta{}, errors.Errorf("read delta: %w", err)
+	}
+	if brdocument.Digest(data) != head.Digest() {
+		return nil, brdocument.Delta{}, errors.Errorf("delta %d has another digest than its successor says", head.Generation())
+	}
+	delta, err := brdocument.DecodeDelta(data)
+	if err != nil {
+		return nil, brdocument.Delta{}, errors.Errorf("decode delta: %w", err)
+	}
+	if delta.Generation() != head.Generation() {
+		return nil, brdocument.Delta{}, errors.Errorf("delta %d follows generation %d", head.Generation(), delta.Previous().Generation())
+	}
+	return data, delta, nil
+}
+
+// snapshotAt returns the snapshot of a head, if one is due and whole. Without
+// it, the deltas lead further back.
+func (r *reader) snapshotAt(ctx context.Context, own, head brdocument.Head) broption.Option[*brconfig.Snapshot] {
+	none := broption.None[*brconfig.Snapshot]()
+	near := head.Generation()-own.Generation() < brspreading.SnapshotInterval
+	if head.Generation()%brspreading.SnapshotInterval != 0 || (near && own.Generation() > 0) {
+		return none
+	}
+	data, err := r.objects.Get(ctx, brdocument.ManifestName(head))
+	if err != nil {
+		return none
+	}
+	manifest, err := brdocument.DecodeManifest(data)
+	if err != nil || manifest.Head() != head {
+		return none
+	}
+	snapshot, err := r.assemble(ctx, manifest)
+	return broption.Of(snapshot, err == nil)
+}
+
+func (r *reader) assemble(ctx context.Context, manifest brdocument.Manifest) (*brconfig.Snapshot, error) {
+	pieces := make([][]byte, 0, len(manifest.Digests()))
+	for i, digest := range manifest.Digests() {
+		data, err := r.objects.Get(ctx, brdocument.PieceName(manifest.Head(), i))
+		if err != nil {
+			return nil, errors.Errorf("read piece %d of snapshot: %w", i, err)
+		}
+		if brdocument.Digest(data) != digest {
+			return nil, errors.Errorf("piece %d of snapshot %d has another digest than its manifest says", i, manifest.Head().Generation())
+		}
+		pieces = append(pieces, data)
+	}
+	snapshot, err := brdocument.Assemble(manifest.Head().Generation(), pieces)
+	if err != nil {
+		return nil, errors.Errorf("assemble snapshot: %w", err)
+	}
+	return snapshot, nil
+}
--- a/internal/duty/brspreading/duty.go
+++ b/internal/duty/brspreading/duty.go
@@ -1,22 +1,26 @@
 // Package brspreading provides the duty that holds the configuration of a VM.
 //
-// It takes deltas from whoever has them (the poller, other VMs, an operator's
-// change made here), applies those that follow its generation and never goes
-// back. It hands each new snapshot to its subscribers' rings and gives deltas
-// and generation to other VMs.
+// It takes deltas and snapshots from whoever has them (the poller, other VMs,
+// an operator's change made here), applies what follows its generation and
+// never goes back. It hands each new snapshot to its subscribers' rings and
+// gives deltas and generation to other VMs.
+//
+// A head that was read elsewhere confirms the VM's own, so that a VM knows how
+// old its knowledge is. A head of the same generation that differs, and a
+// platform that names an older one, are reported and never followed.
 //
 // # Usage
 //
 //	spreading := brspreading.New(clock, timeline)
 //	spreading.Subscribe(admission.Snapshots())
 //	group.Start(spreading.Duty())
-//	generation, err := spreading.Offer(ctx, deltas)
+//	state, err := spreading.Offer(ctx, deltas)
+//	state, err = spreading.Confirm(ctx, head, readAt, true)
 package brspreading
 
 import (
 	"context"
-	"slices"
-	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -24,6 +28,7 @@
 	"bergamotroad.example/bergamotroad/internal/codec/brdocument"
 	"bergamotroad.example/bergamotroad/internal/core/brclock"
 	"bergamotroad.example/bergamotroad/internal/core/brduty"
+	"bergamotroad.example/bergamotroad/internal/core/broption"
 	"bergamotroad.example/bergamotroad/internal/core/brring"
 	"bergamotroad.example/bergamotroad/internal/model/brconfig"
 	"bergamotroad.example/bergamotroad/internal/model/brevent"
@@ -33,54 +38,53 @@
 	queueCapacity = 1024 // messages
 	tickPeriod    = 100 * time.Millisecond
 	maxWaiters    = 4096
+	// SnapshotInterval is the number of generations between two snapshots in
+	// the object store.
+	SnapshotInterval = 256
 )
 
-// State is what a VM holds of the configuration. It is immutable.
-type State struct {
-	head     brdocument.Head
-	snapshot *brconfig.Snapshot
-	deltas   [][]byte
+type message struct {
+	deltas       [][]byte
+	installation broption.Option[installation]
+	reading      broption.Option[reading]
+	above        uint64
+	waiting      bool
+	until        time.Time
+	reply        brring.Reply[State]
 }
 
-// Head returns the head that leads to the snapshot.
-func (s State) Head() brdocument.Head { return s.head }
-
-// Snapshot returns the configuration.
-func (s State) Snapshot() *brconfig.Snapshot { return s.snapshot }
-
-// DeltasAfter returns the encoded deltas that follow a generation, oldest first.
-func (s State) DeltasAfter(generation uint64) [][]byte {
-	if generation >= uint64(len(s.deltas)) {
-		return nil
-	}
-	return s.deltas[generation:]
+type installation struct {
+	head     brdocument.Head
+	snapshot *brconfig.Snapshot
 }
 
-type message struct {
-	deltas  [][]byte
-	above   uint64
-	waiting bool
-	until   time.Time
-	reply   brring.Reply[State]
+type reading struct {
+	head     brdocument.Head
+	at       time.Time
+	platform bool
 }
 
 // Spreading is the duty with the calls that reach it.
 type Spreading struct {
-	clock   brclock.Clock
-	duty    *brduty.Duty[message, struct{}]
-	handler *handler
-	states  *brring.ReplyPool[State]
+	clock      brclock.Clock
+	duty       *brduty.Duty[message, struct{}]
+	handler    *handler
+	states     *brring.ReplyPool[State]
+	generation atomic.Uint64
 }
 
 // New returns the duty with the empty configuration.
 func New(clock brclock.Clock, events brevent.Recorder) *Spreading {
-	h := &handler{events: events, state: State{snapshot: brconfig.NewSnapshot()}}
-	return &Spreading{
-		clock:   clock,
-		duty:    brduty.New[message, struct{}]("spreading", h, clock, brduty.WithCapacity(queueCapacity), brduty.WithPeriod(tickPeriod)),
-		handler: h,
-		states:  brring.NewReplyPool[State](),
+	s := &Spreading{clock: clock, states: brring.NewReplyPool[State]()}
+	s.handler = &handler{
+		clock:      clock,
+		events:     events,
+		metrics:    newMetrics(),
+		generation: &s.generation,
+		state:      State{snapshot: brconfig.NewSnapshot()},
 	}
+	s.duty = brduty.New[message, struct{}]("spreading", s.handler, clock, brduty.WithCapacity(queueCapacity), brduty.WithPeriod(tickPeriod))
+	return s
 }
 
 // Duty returns the duty to be started.
@@ -91,6 +95,15 @@
 	s.handler.subscribers = append(s.handler.subscribers, ring)
 }
 
+// SubscribeArchive sends each state whose snapshot is due in the object store
+// to a ring. It is called before the duty starts.
+func (s *Spreading) SubscribeArchive(ring *brring.Latest[State]) {
+	s.handler.archives = append(s.handler.archives, ring)
+}
+
+// Generation returns the VM's generation without asking the duty.
+func (s *Spreading) Generation() uint64 { return s.generation.Load() }
+
 // State returns what the VM holds.
 func (s *Spreading) State(ctx context.Context) (State, error) {
 	return s.ask(ctx, message{})
@@ -102,10 +115,21 @@
 	return s.ask(ctx, message{deltas: deltas})
 }
 
+// Install takes a whole snapshot, if it is newer, and returns what the VM holds then.
+func (s *Spreading) Install(ctx context.Context, head brdocument.Head, snapshot *brconfig.Snapshot) (State, error) {
+	return s.ask(ctx, message{installation: broption.Some(installation{head: head, snapshot: snapshot})})
+}
+
+// Confirm tells which head was the newest one at a time, as the platform or
+// another VM says, and returns what the VM holds.
+func (s *Spreading) Confirm(ctx context.Context, head brdocument.Head, at time.Time, platform bool) (State, error) {
+	return s.ask(ctx, message{reading: broption.Some(reading{head: head, at: at, platform: platform})})
+}
+
 // Wait returns what the VM holds once its generation is above the given one,
 // or after the patience.
 func (s *Spreading) Wait(ctx context.Context, above uint64, patience time.Duration) (State, error) {
-	return s.ask(ctx, message{above: above, waiting: true, until: s.clock.Now().Add(patience)})
+	return s.ask(ctx, message{above: above, waiting: patience > 0, until: s.clock.Now().Add(patience)})
 }
 
 func (s *Spreading) ask(ctx context.Context, m message) (State, error) {
@@ -118,78 +142,3 @@
 	}
 	return state, nil
 }
-
-type handler struct {
-	events      brevent.Recorder
-	subscribers []*brring.Latest[*brconfig.Snapshot]
-	state       State
-	waiters     []message
-}
-
-// Handle takes deltas, a question or a wait.
-func (h *handler) Handle(_ context.Context, m message) {
-	for _, data := range m.deltas {
-		if !h.apply(data) {
-			break
-		}
-	}
-	if len(m.deltas) > 0 {
-		h.answerWaiters(time.Time{})
-	}
-	if m.waiting && h.state.head.Generation() <= m.above && len(h.waiters) < maxWaiters {
-		h.waiters = append(h.waiters, m)
-		return
-	}
-	m.reply.Answer(h.state)
-}
-
-// Update does nothing: the duty is where snapshots come from.
-func (*handler) Update(context.Context, struct{}) {}
-
-// Tick answers those who have waited long enough.
-func (h *handler) Tick(_ context.Context, now time.Time) {
-	h.answerWaiters(now)
-}
-
-// apply reports whether deltas after this one can follow.
-func (h *handler) apply(data []byte) bool {
-	delta, err := brdocument.DecodeDelta(data)
-	if err != nil {
-		return false
-	}
-	if delta.Generation() <= h.state.head.Generation() {
-		return true
-	}
-	if delta.Previous() != h.state.head {
-		return false
-	}
-	snapshot, err := h.state.snapshot.Apply(delta.Generation(), delta.Changes())
-	if err != nil {
-		return false
-	}
-	h.state = State{
-		head:     brdocument.NewHead(delta.Generation(), delta.Operation(), data),
-		snapshot: snapshot,
-		deltas:   append(h.state.deltas[:len(h.state.deltas):len(h.state.deltas)], data),
-	}
-	h.publish()
-	return true
-}
-
-func (h *handler) publish() {
-	for _, ring := range h.subscribers {
-		_ = ring.Send(h.state.snapshot)
-	}
-	generation := strconv.FormatUint(h.state.head.Generation(), 10)
-	h.events.Record(brevent.New(brevent.KindConfigurationUsed).WithDetail("generation", generation))
-}
-
-func (h *handler) answerWaiters(now time.Time) {
-	h.waiters = slices.DeleteFunc(h.waiters, func(m message) bool {
-		done := h.state.head.Generation() > m.above || (!now.IsZero() && !now.Before(m.until))
-		if done {
-			m.reply.Answer(h.state)
-		}
-		return done
-	})
-}
--- /dev/null
+++ b/internal/duty/brspreading/handler.go
@@ -0,0 +1,174 @@
+package brspreading
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"bergamotroad.example/bergamotroad/internal/codec/brdocument"
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/core/brring"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brevent"
+)
+
+type handler struct {
+	clock       brclock.Clock
+	events      brevent.Recorder
+	metrics     *metrics
+	generation  *atomic.Uint64
+	subscribers []*brring.Latest[*brconfig.Snapshot]
+	archives    []*brring.Latest[State]
+	state       State
+	changed     time.Time
+	reported    brdocument.Head
+	waiters     []message
+}
+
+// Handle takes deltas, a snapshot, a reading of a head, a question or a wait.
+func (h *handler) Handle(_ context.Context, m message) {
+	before := h.state.head
+	h.take(m)
+	if h.state.head != before {
+		h.publish()
+		h.answerWaiters(time.Time{})
+	}
+	if m.waiting && h.state.head.Generation() <= m.above && len(h.waiters) < maxWaiters {
+		h.waiters = append(h.waiters, m)
+		return
+	}
+	m.reply.Answer(h.state)
+}
+
+// Update does nothing: the duty is where snapshots come from.
+func (*handler) Update(context.Context, struct{}) {}
+
+// Tick answers those who have waited long enough.
+func (h *handler) Tick(_ context.Context, now time.Time) {
+	h.answerWaiters(now)
+}
+
+func (h *handler) take(m message) {
+	for _, data := range m.deltas {
+		if !h.apply(data) {
+			break
+		}
+	}
+	if i, ok := m.installation.Get(); ok {
+		h.install(i)
+	}
+	if r, ok := m.reading.Get(); ok {
+		h.confirm(r)
+	}
+}
+
+// apply reports whether deltas after this one can follow.
+func (h *handler) apply(data []byte) bool {
+	delta, err := brdocument.DecodeDelta(data)
+	if err != nil {
+		h.metrics.refused.Inc()
+		return false
+	}
+	head := brdocument.NewHead(delta.Generation(), delta.Operation(), data)
+	if head.Generation() <= h.state.head.Generation() {
+		return h.agrees(head)
+	}
+	if delta.Previous() != h.state.head {
+		h.agrees(delta.Previous())
+		return false
+	}
+	snapshot, err := h.state.snapshot.Apply(delta.Generation(), delta.Changes())
+	if err != nil {
+		h.metrics.refused.Inc()
+		return false
+	}
+	h.enter(h.state.after(head, snapshot, data))
+	return true
+}
+
+// install takes a whole snapshot that is newer than what the VM holds.
+func (h *handler) install(i installation) {
+	if i.head.Generation() <= h.state.head.Generation() {
+		h.agrees(i.head)
+		return
+	}
+	h.enter(State{head: i.head, snapshot: i.snapshot})
+	h.events.Record(brevent.New(brevent.KindSnapshotInstalled).WithDetail("generation", number(i.head)))
+}
+
+// confirm compares a head that was read elsewhere with the VM's own.
+func (h *handler) confirm(r reading) {
+	if r.head == h.state.head {
+		if r.at.After(h.state.confirmed) {
+			h.state.confirmed = r.at
+			h.metrics.confirmed.Set(float64(r.at.Unix()))
+		}
+		return
+	}
+	if !h.agrees(r.head) || r.head.Generation() > h.state.head.Generation() {
+		return
+	}
+	// A head read before the VM's own change came is only an old reading.
+	if r.platform && r.at.After(h.changed) {
+		h.metrics.headBehind.Inc()
+		h.report(brevent.KindHeadBehind, r.head)
+	}
+}
+
+// agrees is false for a head of the VM's generation that is not the VM's.
+func (h *handler) agrees(head brdocument.Head) bool {
+	if head.Generation() != h.state.head.Generation() || head == h.state.head {
+		return true
+	}
+	h.metrics.branched.Inc()
+	h.report(brevent.KindBranched, head)
+	return false
+}
+
+// report puts a head on the time line, once until another one is reported.
+func (h *handler) report(kind brevent.Kind, head brdocument.Head) {
+	if h.reported == head {
+		return
+	}
+	h.reported = head
+	h.events.Record(brevent.New(kind).
+		WithDetail("generation", number(h.state.head)).
+		WithDetail("operation", h.state.head.Operation()).
+		WithDetail("other-generation", number(head)).
+		WithDetail("other-operation", head.Operation()))
+}
+
+func (h *handler) enter(state State) {
+	h.state = state
+	h.changed = h.clock.Now()
+	h.generation.Store(state.head.Generation())
+	h.metrics.generation.Set(float64(state.head.Generation()))
+	if state.head.Generation()%SnapshotInterval == 0 {
+		for _, ring := range h.archives {
+			_ = ring.Send(state)
+		}
+	}
+}
+
+func (h *handler) publish() {
+	for _, ring := range h.subscribers {
+		_ = ring.Send(h.state.snapshot)
+	}
+	h.events.Record(brevent.New(brevent.KindConfigurationUsed).WithDetail("generation", number(h.state.head)))
+}
+
+func (h *handler) answerWaiters(now time.Time) {
+	h.waiters = slices.DeleteFunc(h.waiters, func(m message) bool {
+		done := h.state.head.Generation() > m.above || (!now.IsZero() && !now.Before(m.until))
+		if done {
+			m.reply.Answer(h.state)
+		}
+		return done
+	})
+}
+
+func number(head brdocument.Head) string {
+	return strconv.FormatUint(head.Generation(), 10)
+}
--- a/internal/model/brconfig/snapshot.go
+++ b/internal/model/brconfig/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"iter"
 	"maps"
+	"slices"
 
 	"bergamotroad.example/bergamotroad/internal/core/broption"
 )
@@ -12,6 +13,7 @@
 type Snapshot struct {
 	generation uint64
 	stores     map[Kind]store
+	history    history
 }
 
 // NewSnapshot returns the empty configuration, generation 0.
@@ -54,6 +56,21 @@
 	return rows.all()
 }
 
+// Kinds returns the kinds of resources in ascending order.
+func (s *Snapshot) Kinds() []Kind {
+	return slices.Sorted(maps.Keys(s.stores))
+}
+
+// AllAfter iterates over the resources of a kind whose names lie above the
+// given one, by ascending name.
+func (s *Snapshot) AllAfter(kind Kind, name string) iter.Seq[Resource] {
+	rows, ok := s.stores[kind]
+	if !ok {
+		return func(func(Resource) bool) {}
+	}
+	return rows.allAfter(name)
+}
+
 func tableOf[T Resource](s *Snapshot, kind Kind) Table[T] {
 	typed, _ := s.stores[kind].(storeOf[T])
 	return typed.table
@@ -129,7 +146,7 @@
 // that each reference of the changed resources leads somewhere and that no
 // deleted resource is still needed; it returns ErrDangling otherwise.
 func (s *Snapshot) Apply(generation uint64, changes []Change) (*Snapshot, error) {
-	next := &Snapshot{generation: generation, stores: maps.Clone(s.stores)}
+	next := &Snapshot{generation: generation, stores: maps.Clone(s.stores), history: s.history.with(generation, changes)}
 	for _, c := range changes {
 		if err := next.change(c); err != nil {
 			return nil, err
--- a/internal/model/brconfig/table.go
+++ b/internal/model/brconfig/table.go
@@ -47,6 +47,24 @@
 	}
 }
 
+// AllAfter iterates over the resources whose names lie above the given one, by
+// ascending name.
+func (t Table[T]) AllAfter(name string) iter.Seq[T] {
+	return func(yield func(T) bool) {
+		if t.rows == nil {
+			return
+		}
+		rows := t.rows.Iterator()
+		rows.Seek(name)
+		for !rows.Done() {
+			key, row, _ := rows.Next()
+			if key != name && !yield(row) {
+				return
+			}
+		}
+	}
+}
+
 func (t Table[T]) with(row T) Table[T] {
 	rows := t.rows
 	if rows == nil {
@@ -66,6 +84,7 @@
 type store interface {
 	get(name string) broption.Option[Resource]
 	all() iter.Seq[Resource]
+	allAfter(name string) iter.Seq[Resource]
 	put(row Resource) (store, bool)
 	remove(name string) store
 }
@@ -89,6 +108,16 @@
 	}
 }
 
+func (s storeOf[T]) allAfter(name string) iter.Seq[Resource] {
+	return func(yield func(Resource) bool) {
+		for row := range s.table.AllAfter(name) {
+			if !yield(row) {
+				return
+			}
+		}
+	}
+}
+
 func (s storeOf[T]) put(row Resource) (store, bool) {
 	typed, ok := row.(T)
 	if !ok {
--- /dev/null
+++ b/internal/peer/brentry/generation.go
@@ -0,0 +1,98 @@
+package brentry
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/go-faster/errors"
+)
+
+// Header fields that each message between VMs carries, both ways.
+const (
+	headerVM         = "Bergamotroad-Vm"
+	headerGeneration = "Bergamotroad-Generation"
+)
+
+// Generations knows the VM's own generation and hears those of others.
+type Generations interface {
+	// Generation returns the VM's own generation.
+	Generation() uint64
+	// Heard tells of a generation that came with a message of another VM.
+	Heard(vm string, generation uint64)
+}
+
+// NewTransport returns a transport that adds the VM's generation to each
+// message to another VM and hears the generation in the answer.
+func NewTransport(vm string, generations Generations, next http.RoundTripper) http.RoundTripper {
+	return &transport{vm: vm, generations: generations, next: next}
+}
+
+type transport struct {
+	vm          string
+	generations Generations
+	next        http.RoundTripper
+}
+
+// RoundTrip sends one message.
+func (t *transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	stamped := request.Clone(request.Context())
+	stamp(stamped.Header, t.vm, t.generations)
+	response, err := t.next.RoundTrip(stamped)
+	if err != nil {
+		return nil, errors.Errorf("send to other VM: %w", err)
+	}
+	hear(response.Header, t.generations)
+	return response, nil
+}
+
+// WithGeneration returns a handler that adds the VM's generation to each
+// answer and hears the generation in the question.
+func WithGeneration(vm string, generations Generations, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		hear(r.Header, generations)
+		next.ServeHTTP(&stampingWriter{ResponseWriter: w, vm: vm, generations: generations}, r)
+	})
+}
+
+// stampingWriter adds the generation as late as possible: a question may have
+// been held for long.
+type stampingWriter struct {
+	http.ResponseWriter
+	vm          string
+	generations Generations
+	stamped     bool
+}
+
+// WriteHeader adds the generation and sends the header.
+func (w *stampingWriter) WriteHeader(status int) {
+	w.stamp()
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write sends a part of the answer.
+func (w *stampingWriter) Write(data []byte) (int, error) {
+	w.stamp()
+	return w.ResponseWriter.Write(data)
+}
+
+// Unwrap gives http.ResponseController the writer beneath.
+func (w *stampingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (w *stampingWriter) stamp() {
+	if !w.stamped {
+		w.stamped = true
+		stamp(w.Header(), w.vm, w.generations)
+	}
+}
+
+func stamp(header http.Header, vm string, generations Generations) {
+	header.Set(headerVM, vm)
+	header.Set(headerGeneration, strconv.FormatUint(generations.Generation(), 10))
+}
+
+func hear(header http.Header, generations Generations) {
+	generation, err := strconv.ParseUint(header.Get(headerGeneration), 10, 64)
+	if err == nil {
+		generations.Heard(header.Get(headerVM), generation)
+	}
+}
--- a/internal/peer/brentry/spread.go
+++ b/internal/peer/brentry/spread.go
@@ -2,22 +2,28 @@
 //
 // The server side decodes, calls a service and encodes; the client side is an
 // interface with typed results. The generated messages of package brentrypb
-// are used here only.
+// are used here only. Each message carries the sender's generation.
 //
 // # Usage
 //
-//	handler := brentry.NewHandler(spreading, timeline)
-//	peer := brentry.NewPeer(httpClient, "http://10.0.1.7:7400")
-//	generation, err := peer.Wait(ctx, 7, time.Second)
+//	handler := brentry.WithGeneration("vm-1", generations, brentry.NewHandler(clock, spreading, timeline))
+//	pool := brentry.NewPool(&http.Client{Transport: brentry.NewTransport("vm-1", generations, http.DefaultTransport)})
+//	notice, err := pool.Dial("10.0.1.7:7400").Wait(ctx, 7, time.Second)
 package brentry
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/go-faster/errors"
 
+	"bergamotroad.example/bergamotroad/internal/codec/brdocument"
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/core/broption"
+	"bergamotroad.example/bergamotroad/internal/duty/brfollowing"
 	"bergamotroad.example/bergamotroad/internal/duty/brspreading"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
 	"bergamotroad.example/bergamotroad/internal/peer/brentrypb"
 )
 
@@ -34,17 +40,31 @@
 }
 
 type spreadServer struct {
+	clock     brclock.Clock
 	spreading Spreading
+	pins      pins
 }
 
 // Wait answers when the VM's generation is above the caller's.
 func (s *spreadServer) Wait(ctx context.Context, request *brentrypb.WaitRequest) (*brentrypb.WaitReply, error) {
 	patience := time.Duration(request.GetPatienceMilliseconds()) * time.Millisecond
+	came := s.clock.Now()
 	state, err := s.spreading.Wait(ctx, request.GetGeneration(), min(patience, maxPatience))
 	if err != nil {
 		return nil, errors.Errorf("wait for generation: %w", err)
 	}
-	return &brentrypb.WaitReply{Generation: state.Head().Generation()}, nil
+	now := s.clock.Now()
+	reply := &brentrypb.WaitReply{
+		Generation:       state.Head().Generation(),
+		Head:             messageOfHead(state.Head()),
+		HeldMilliseconds: uint32(now.Sub(came).Milliseconds()),
+		Confirmed:        !state.Confirmed().IsZero(),
+	}
+	if reply.Confirmed {
+		// Rounded up: knowledge must not look newer than it is.
+		reply.AgeMilliseconds = uint64(max(0, now.Sub(state.Confirmed()).Milliseconds()+1))
+	}
+	return reply, nil
 }
 
 // Fetch returns the deltas after a generation.
@@ -53,27 +73,96 @@
 	if err != nil {
 		return nil, errors.Errorf("fetch deltas: %w", err)
 	}
-	return &brentrypb.FetchReply{Deltas: state.DeltasAfter(request.GetAfterGeneration())}, nil
+	after := request.GetAfterGeneration()
+	return &brentrypb.FetchReply{Deltas: state.DeltasAfter(after), TooOld: !state.Covers(after)}, nil
+}
+
+// FetchPiece returns a part of a snapshot.
+func (s *spreadServer) FetchPiece(ctx context.Context, request *brentrypb.FetchPieceRequest) (*brentrypb.FetchPieceReply, error) {
+	state, err := s.pinned(ctx, request.GetGeneration())
+	if err != nil {
+		return nil, err
+	}
+	after := brconfig.NewReference(brconfig.Kind(request.GetKind()), request.GetName())
+	piece, err := brdocument.EncodePiece(state.Snapshot(), after)
+	if err != nil {
+		return nil, errors.Errorf("encode piece of snapshot: %w", err)
+	}
+	return &brentrypb.FetchPieceReply{
+		Head:      messageOfHead(state.Head()),
+		Resources: piece.Data(),
+		Digest:    brdocument.Digest(piece.Data()),
+		Kind:      string(piece.Last().Kind()),
+		Name:      piece.Last().Name(),
+		More:      piece.More(),
+	}, nil
+}
+
+// pinned returns the state that a fetch began with, so that all its pieces are
+// of one generation.
+func (s *spreadServer) pinned(ctx context.Context, generation uint64) (brspreading.State, error) {
+	if generation > 0 {
+		state, ok := s.pins.get(generation).Get()
+		if !ok {
+			return brspreading.State{}, errors.Errorf("snapshot %d is no longer kept", generation)
+		}
+		return state, nil
+	}
+	state, err := s.spreading.State(ctx)
+	if err != nil {
+		return brspreading.State{}, errors.Errorf("read snapshot: %w", err)
+	}
+	s.pins.add(state)
+	return state, nil
 }
 
-// Wait returns the generation of the other VM once it is above the given one,
-// or after the patience.
-func (p *Peer) Wait(ctx context.Context, above uint64, patience time.Duration) (uint64, error) {
+// Wait returns the head of the other VM once its generation is above the
+// given one, or after the patience.
+func (p *Peer) Wait(ctx context.Context, above uint64, patience time.Duration) (brfollowing.Notice, error) {
 	reply, err := p.spread.Wait(ctx, &brentrypb.WaitRequest{
 		Generation:           above,
 		PatienceMilliseconds: uint32(patience.Milliseconds()),
 	})
 	if err != nil {
-		return 0, errors.Errorf("wait for generation of %s: %w", p.address, err)
+		return brfollowing.Notice{}, errors.Errorf("wait for generation of %s: %w", p.address, err)
 	}
-	return reply.GetGeneration(), nil
+	held := time.Duration(reply.GetHeldMilliseconds()) * time.Millisecond
+	age := time.Duration(min(reply.GetAgeMilliseconds(), math.MaxInt32)) * time.Millisecond
+	return brfollowing.NewNotice(headOf(reply.GetHead()), held, broption.Of(age, reply.GetConfirmed())), nil
 }
 
-// Fetch returns the other VM's encoded deltas after a generation.
-func (p *Peer) Fetch(ctx context.Context, after uint64) ([][]byte, error) {
+// Fetch returns the other VM's encoded deltas after a generation. It is false
+// where the other VM does not keep deltas that far back.
+func (p *Peer) Fetch(ctx context.Context, after uint64) ([][]byte, bool, error) {
 	reply, err := p.spread.Fetch(ctx, &brentrypb.FetchRequest{AfterGeneration: after})
 	if err != nil {
-		return nil, errors.Errorf("fetch deltas of %s: %w", p.address, err)
+		return nil, false, errors.Errorf("fetch deltas of %s: %w", p.address, err)
+	}
+	return reply.GetDeltas(), !reply.GetTooOld(), nil
+}
+
+// FetchPiece returns the part of the other VM's snapshot that follows a resource.
+func (p *Peer) FetchPiece(ctx context.Context, generation uint64, after brconfig.Reference) (brfollowing.Part, error) {
+	reply, err := p.spread.FetchPiece(ctx, &brentrypb.FetchPieceRequest{
+		Generation: generation,
+		Kind:       string(after.Kind()),
+		Name:       after.Name(),
+	})
+	if err != nil {
+		return brfollowing.Part{}, errors.Errorf("fetch piece of snapshot of %s: %w", p.address, err)
+	}
+	if brdocument.Digest(reply.GetResources()) != reply.GetDigest() {
+		return brfollowing.Part{}, errors.Errorf("piece of snapshot of %s is damaged", p.address)
 	}
-	return reply.GetDeltas(), nil
+	last := brconfig.NewReference(brconfig.Kind(reply.GetKind()), reply.GetName())
+	piece := brdocument.RestorePiece(reply.GetResources(), last, reply.GetMore())
+	return brfollowing.NewPart(headOf(reply.GetHead()), piece), nil
+}
+
+func messageOfHead(head brdocument.Head) *brentrypb.HeadMessage {
+	return &brentrypb.HeadMessage{Generation: head.Generation(), Operation: head.Operation(), Digest: head.Digest()}
+}
+
+func headOf(m *brentrypb.HeadMessage) brdocument.Head {
+	return brdocument.RestoreHead(m.GetGeneration(), m.GetOperation(), m.GetDigest())
 }
--- a/internal/peer/brentrypb/spread.twirp.go
+++ b/internal/peer/brentrypb/spread.twirp.go
@@ -41,6 +41,9 @@
 
 	// Fetch returns the deltas after a generation.
 	Fetch(context.Context, *FetchRequest) (*FetchReply, error)
+
+	// FetchPiece returns a part of a snapshot.
+	FetchPiece(context.Context, *FetchPieceRequest) (*FetchPieceReply, error)
 }
 
 // ======================
@@ -49,7 +52,7 @@
 
 type spreadProtobufClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [3]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -77,9 +80,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "bergamotroad", "Spread")
-	urls := [2]string{
+	urls := [3]string{
 		serviceURL + "Wait",
 		serviceURL + "Fetch",
+		serviceURL + "FetchPiece",
 	}
 
 	return &spreadProtobufClient{
@@ -182,13 +186,59 @@
 	return out, nil
 }
 
+func (c *spreadProtobufClient) FetchPiece(ctx context.Context, in *FetchPieceRequest) (*FetchPieceReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "bergamotroad")
+	ctx = ctxsetters.WithServiceName(ctx, "Spread")
+	ctx = ctxsetters.WithMethodName(ctx, "FetchPiece")
+	caller := c.callFetchPiece
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *FetchPieceRequest) (*FetchPieceReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*FetchPieceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*FetchPieceRequest) when calling interceptor")
+					}
+					return c.callFetchPiece(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*FetchPieceReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*FetchPieceReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *spreadProtobufClient) callFetchPiece(ctx context.Context, in *FetchPieceRequest) (*FetchPieceReply, error) {
+	out := new(FetchPieceReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ==================
 // Spread JSON Client
 // ==================
 
 type spreadJSONClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [3]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -216,9 +266,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "bergamotroad", "Spread")
-	urls := [2]string{
+	urls := [3]string{
 		serviceURL + "Wait",
 		serviceURL + "Fetch",
+		serviceURL + "FetchPiece",
 	}
 
 	return &spreadJSONClient{
@@ -321,6 +372,52 @@
 	return out, nil
 }
 
+func (c *spreadJSONClient) FetchPiece(ctx context.Context, in *FetchPieceRequest) (*FetchPieceReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "bergamotroad")
+	ctx = ctxsetters.WithServiceName(ctx, "Spread")
+	ctx = ctxsetters.WithMethodName(ctx, "FetchPiece")
+	caller := c.callFetchPiece
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *FetchPieceRequest) (*FetchPieceReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*FetchPieceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*FetchPieceRequest) when calling interceptor")
+					}
+					return c.callFetchPiece(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*FetchPieceReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*FetchPieceReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *spreadJSONClient) callFetchPiece(ctx context.Context, in *FetchPieceRequest) (*FetchPieceReply, error) {
+	out := new(FetchPieceReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // =====================
 // Spread Server Handler
 // =====================
@@ -424,6 +521,9 @@
 	case "Fetch":
 		s.serveFetch(ctx, resp, req)
 		return
+	case "FetchPiece":
+		s.serveFetchPiece(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -791,6 +891,186 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *spreadServer) serveFetchPiece(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveFetchPieceJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveFetchPieceProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *spreadServer) serveFetchPieceJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "FetchPiece")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(FetchPieceRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Spread.FetchPiece
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *FetchPieceRequest) (*FetchPieceReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*FetchPieceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*FetchPieceRequest) when calling interceptor")
+					}
+					return s.Spread.FetchPiece(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*FetchPieceReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*FetchPieceReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *FetchPieceReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *FetchPieceReply and nil error while calling FetchPiece. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *spreadServer) serveFetchPieceProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "FetchPiece")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(FetchPieceRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Spread.FetchPiece
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *FetchPieceRequest) (*FetchPieceReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*FetchPieceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*FetchPieceRequest) when calling interceptor")
+					}
+					return s.Spread.FetchPiece(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*FetchPieceReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*FetchPieceReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *FetchPieceReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *FetchPieceReply and nil error while calling FetchPiece. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *spreadServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor0, 0
 }
@@ -1372,23 +1652,36 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 278 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x84, 0x91, 0x3f, 0x4b, 0xc4, 0x40,
-	0x10, 0xc5, 0x89, 0x9e, 0x01, 0xc7, 0x88, 0xb2, 0xf8, 0x27, 0x97, 0x42, 0x42, 0xb0, 0x88, 0x08,
-	0x09, 0x78, 0xd5, 0x29, 0x36, 0x16, 0x5a, 0xd9, 0xc4, 0x42, 0xb0, 0x39, 0x36, 0xc9, 0x78, 0x2e,
-	0x6c, 0x76, 0xd7, 0xcd, 0x08, 0xa6, 0xf6, 0x8b, 0x4b, 0xe2, 0x1d, 0x6e, 0xf0, 0xc0, 0x72, 0xe7,
-	0xb7, 0x6f, 0xde, 0xe3, 0x0d, 0x4c, 0x4b, 0xb4, 0x4b, 0xde, 0x68, 0xb2, 0x9a, 0xd7, 0x79, 0x6b,
-	0x2c, 0xf2, 0x3a, 0x33, 0x56, 0x93, 0x66, 0x81, 0x8b, 0x92, 0x12, 0xf6, 0x9e, 0xb9, 0xa0, 0x02,
-	0xdf, 0x3f, 0xb0, 0x25, 0x76, 0x06, 0xb0, 0x44, 0x85, 0x96, 0x93, 0xd0, 0x2a, 0xf4, 0x62, 0x2f,
-	0x9d, 0x14, 0xce, 0x84, 0xcd, 0xe0, 0xd8, 0x70, 0x12, 0xa8, 0x2a, 0x5c, 0x34, 0x42, 0x4a, 0xd1,
-	0x62, 0xa5, 0x55, 0xdd, 0x86, 0x5b, 0xb1, 0x97, 0xee, 0x17, 0x47, 0x6b, 0xf8, 0xe8, 0xb0, 0xe4,
-	0x12, 0x76, 0x7f, 0x3c, 0x8c, 0xec, 0xfe, 0x73, 0x48, 0xe6, 0x10, 0xdc, 0x23, 0x55, 0x6f, 0xeb,
-	0x44, 0x17, 0x70, 0xc8, 0x5f, 0x09, 0xed, 0xe2, 0x8f, 0xea, 0x60, 0x98, 0x3f, 0xfc, 0x4a, 0xcf,
-	0x01, 0x56, 0xd2, 0xde, 0xe8, 0x04, 0xfc, 0x1a, 0x25, 0xf1, 0x36, 0xf4, 0xe2, 0xed, 0x34, 0x28,
-	0x56, 0xaf, 0xab, 0x2f, 0x0f, 0xfc, 0xa7, 0xa1, 0x10, 0x76, 0x0d, 0x93, 0x3e, 0x18, 0x9b, 0x66,
-	0x6e, 0x27, 0x99, 0x53, 0x48, 0x74, 0xba, 0x09, 0xf5, 0xeb, 0x6f, 0x61, 0x67, 0x30, 0x63, 0xd1,
-	0xf8, 0x87, 0x1b, 0x3e, 0x0a, 0x37, 0x32, 0x23, 0xbb, 0xbb, 0x9b, 0x97, 0xf9, 0x08, 0xe1, 0x27,
-	0x6f, 0x8c, 0xc4, 0x7c, 0x74, 0x37, 0xa1, 0x08, 0xad, 0xe2, 0x32, 0x37, 0x88, 0x36, 0x2f, 0x2d,
-	0x2a, 0xb2, 0x9d, 0x29, 0x4b, 0x7f, 0xb8, 0xe4, 0xec, 0x3b, 0x00, 0x00, 0xff, 0xff, 0x7f, 0x1c,
-	0xf3, 0x10, 0xe6, 0x01, 0x00, 0x00,
+	// 496 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x54, 0x41, 0x6f, 0xd3, 0x30,
+	0x14, 0x56, 0x68, 0x1a, 0xd6, 0xd7, 0xa2, 0x6e, 0x16, 0xb0, 0xac, 0x1a, 0x50, 0xe5, 0x54, 0x84,
+	0x68, 0xa5, 0xed, 0x34, 0xd0, 0x2e, 0x1c, 0x80, 0x03, 0x13, 0x28, 0x1c, 0x90, 0xe0, 0x50, 0x39,
+	0xf1, 0x5b, 0x6a, 0xe1, 0xd8, 0xc1, 0xf1, 0x24, 0xfa, 0xb7, 0xf8, 0x25, 0xf0, 0x8f, 0x90, 0xdd,
+	0x74, 0x75, 0xb6, 0x4e, 0xeb, 0xcd, 0xf9, 0xbe, 0x67, 0xbf, 0xcf, 0xdf, 0xf7, 0x62, 0x38, 0xca,
+	0x50, 0x17, 0xb4, 0x54, 0x46, 0x2b, 0xca, 0x66, 0x75, 0xa5, 0x91, 0xb2, 0x69, 0xa5, 0x95, 0x51,
+	0x64, 0xe0, 0x53, 0x49, 0x0e, 0xfd, 0x8f, 0x48, 0xd9, 0x05, 0xd6, 0x35, 0x2d, 0x90, 0x3c, 0x07,
+	0x28, 0x50, 0xa2, 0xa6, 0x86, 0x2b, 0x19, 0x07, 0xe3, 0x60, 0x12, 0xa6, 0x1e, 0x42, 0x8e, 0xa1,
+	0xa7, 0xaa, 0x35, 0xfd, 0x60, 0x1c, 0x4c, 0x7a, 0xe9, 0x06, 0x20, 0x4f, 0x21, 0x62, 0xbc, 0xc0,
+	0xda, 0xc4, 0x1d, 0x47, 0x35, 0x5f, 0x49, 0x06, 0xfd, 0x6f, 0x94, 0x9b, 0x14, 0x7f, 0x5d, 0x61,
+	0x6d, 0xee, 0x6d, 0x72, 0x0a, 0x4f, 0x2a, 0x6a, 0x38, 0xca, 0x1c, 0xe7, 0x25, 0x17, 0x82, 0xd7,
+	0x98, 0x2b, 0xc9, 0x6a, 0xd7, 0xf0, 0x51, 0xfa, 0x78, 0x4d, 0x5e, 0x78, 0x5c, 0xf2, 0x37, 0x80,
+	0xde, 0xaa, 0x49, 0x25, 0x96, 0xf7, 0xb6, 0x78, 0x0d, 0xe1, 0x02, 0x29, 0x73, 0x27, 0xf6, 0x4f,
+	0x8e, 0xa6, 0xbe, 0x27, 0x53, 0xcf, 0x90, 0xd4, 0x95, 0x91, 0x57, 0x70, 0xb0, 0x40, 0xc1, 0xda,
+	0x6a, 0x3a, 0x4e, 0xcd, 0xbe, 0x25, 0x7c, 0x25, 0xe4, 0x25, 0xec, 0xd3, 0xe2, 0x86, 0xf2, 0xd0,
+	0x29, 0x18, 0xd2, 0xa2, 0x25, 0xda, 0xda, 0x99, 0x2b, 0x79, 0xc9, 0x75, 0x89, 0x2c, 0xee, 0x8e,
+	0x83, 0xc9, 0x5e, 0xba, 0x01, 0x92, 0x33, 0x18, 0xbc, 0x47, 0x93, 0x2f, 0xd6, 0xbe, 0xd9, 0x83,
+	0x2f, 0x0d, 0xea, 0xf9, 0xad, 0xab, 0x0d, 0x1d, 0xfe, 0xe1, 0x1a, 0x4e, 0xce, 0x01, 0x9a, 0xad,
+	0xd6, 0x0d, 0x9b, 0x0b, 0x0a, 0x43, 0xeb, 0x38, 0x18, 0x77, 0x26, 0x83, 0xb4, 0xf9, 0x22, 0x87,
+	0xf0, 0xd0, 0x28, 0x35, 0x57, 0x62, 0x65, 0xc4, 0x5e, 0x1a, 0x19, 0xa5, 0x3e, 0x0b, 0x96, 0xfc,
+	0x80, 0x03, 0xb7, 0xfd, 0x0b, 0xc7, 0x1c, 0x77, 0x8d, 0x8d, 0x40, 0xf8, 0x93, 0x4b, 0xd6, 0x8c,
+	0x85, 0x5b, 0x5b, 0x4c, 0xd2, 0x12, 0x9b, 0x79, 0x70, 0xeb, 0xe4, 0x4f, 0x00, 0x43, 0xff, 0x74,
+	0xab, 0x70, 0x9d, 0x47, 0xb0, 0x5b, 0x1e, 0xc7, 0xd0, 0xd3, 0x58, 0xab, 0x2b, 0x9d, 0xe3, 0x6a,
+	0x2a, 0x06, 0xe9, 0x06, 0xb8, 0x6b, 0x0c, 0xaf, 0x05, 0x86, 0x5b, 0x04, 0x76, 0x37, 0x02, 0x2d,
+	0x56, 0x2a, 0x8d, 0x71, 0xe4, 0x3c, 0x71, 0xeb, 0x93, 0x7f, 0x01, 0x44, 0x5f, 0xdd, 0x6f, 0x44,
+	0xde, 0x40, 0x68, 0x07, 0x8d, 0xdc, 0x50, 0xe9, 0x4d, 0xf8, 0xe8, 0x70, 0x1b, 0x65, 0xef, 0x79,
+	0x0e, 0x5d, 0x77, 0x75, 0x32, 0x6a, 0x57, 0xf8, 0x39, 0x8f, 0xe2, 0xad, 0x9c, 0xdd, 0xfe, 0xa9,
+	0x89, 0xd5, 0x39, 0x47, 0x5e, 0x6c, 0xa9, 0xf3, 0x13, 0x1b, 0x3d, 0xbb, 0xbb, 0xa0, 0x12, 0xcb,
+	0x77, 0x6f, 0xbf, 0x9f, 0xb5, 0x78, 0xfc, 0x4d, 0xcb, 0x4a, 0xe0, 0xac, 0xf5, 0x76, 0x70, 0x69,
+	0x50, 0x4b, 0x2a, 0x66, 0x15, 0xa2, 0x9e, 0x65, 0x1a, 0xa5, 0xd1, 0xcb, 0x2a, 0xcb, 0x22, 0xf7,
+	0x9a, 0x9c, 0xfe, 0x0f, 0x00, 0x00, 0xff, 0xff, 0x72, 0xf4, 0x31, 0xe1, 0x6a, 0x04, 0x00, 0x00,
 }
--- a/internal/service/brnode/node.go
+++ b/internal/service/brnode/node.go
@@ -28,7 +28,6 @@
 	"bergamotroad.example/bergamotroad/internal/model/brevent"
 	"bergamotroad.example/bergamotroad/internal/peer/brbackend"
 	"bergamotroad.example/bergamotroad/internal/peer/brcaller"
-	"bergamotroad.example/bergamotroad/internal/peer/brentry"
 	"bergamotroad.example/bergamotroad/internal/peer/brobject"
 	"bergamotroad.example/bergamotroad/internal/peer/broperator"
 	"bergamotroad.example/bergamotroad/internal/peer/brtable"
@@ -54,6 +53,7 @@
 	steering  *brsteering.Steering
 	spreading *brspreading.Spreading
 	polling   *brpolling.Polling
+	spread    spread
 	fronts    []front
 }
 
@@ -108,6 +108,9 @@
 		n.steering.Duty(),
 		n.spreading.Duty(),
 		n.polling.Duty(),
+		n.spread.following.Duty(),
+		n.spread.membership.Duty(),
+		n.spread.archiving.Duty(),
 	}
 }
 
@@ -116,7 +119,7 @@
 	client := &http.Client{}
 	table := brtable.NewClient(client, platform.Table(), platform.Timeout())
 	objects := brobject.NewClient(client, platform.Objects(), platform.Timeout())
-	n.polling = brpolling.New(n.clock, table, objects, n.spreading, n.logger)
+	n.addSpread(client, table, objects)
 
 	dispatcher := brdispatch.New(n.clock, n.admission, n.balancing, brbackend.NewClient(brbackend.NewTransport()), n.timeline)
 	callers, err := brcaller.NewHandler(n.clock, dispatcher, n.steering)
@@ -130,7 +133,7 @@
 	}
 	return errors.Join(
 		n.addFront("callers", n.settings.Callers(), callers),
-		n.addFront("peers", n.settings.Peers(), brentry.NewHandler(n.spreading, n.timeline)),
+		n.addFront("peers", n.settings.Peers(), n.peersHandler()),
 		n.addFront("operators", n.settings.Operators(), operators),
 	)
 }
@@ -151,10 +154,11 @@
 	}
 }
 
-func (*Node) metrics() *prometheus.Registry {
+func (n *Node) metrics() *prometheus.Registry {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector())
 	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	registry.MustRegister(n.spreading.Collectors()...)
 	return registry
 }
 
--- /dev/null
+++ b/internal/service/brnode/spread.go
@@ -0,0 +1,65 @@
+package brnode
+
+import (
+	"net/http"
+	"time"
+
+	"bergamotroad.example/bergamotroad/internal/duty/brarchiving"
+	"bergamotroad.example/bergamotroad/internal/duty/brfollowing"
+	"bergamotroad.example/bergamotroad/internal/duty/brmembership"
+	"bergamotroad.example/bergamotroad/internal/duty/brpolling"
+	"bergamotroad.example/bergamotroad/internal/duty/brspreading"
+	"bergamotroad.example/bergamotroad/internal/peer/brentry"
+	"bergamotroad.example/bergamotroad/internal/peer/brobject"
+	"bergamotroad.example/bergamotroad/internal/peer/brtable"
+	"bergamotroad.example/bergamotroad/internal/peer/brvmlist"
+)
+
+const (
+	// peerConnectionsIdle bounds the idle connections to one other VM.
+	peerConnectionsIdle = 2
+	peerIdleTimeout     = time.Minute
+)
+
+// spread is the duties that bring the configuration, beside the poller.
+type spread struct {
+	following  *brfollowing.Following
+	membership *brmembership.Membership
+	archiving  *brarchiving.Archiving
+}
+
+// generations is the VM's own generation and what is heard of others'.
+type generations struct {
+	spreading *brspreading.Spreading
+	following *brfollowing.Following
+}
+
+// Generation returns the VM's own generation.
+func (g *generations) Generation() uint64 { return g.spreading.Generation() }
+
+// Heard tells of a generation that came with a message of another VM.
+func (g *generations) Heard(vm string, generation uint64) { g.following.Heard(vm, generation) }
+
+func (n *Node) addSpread(client *http.Client, table brtable.Table, objects brobject.Store) {
+	vm, domain := n.settings.VM(), n.settings.Domain()
+	platform := n.settings.Platform()
+	n.polling = brpolling.New(vm, domain, n.clock, table, objects, n.spreading, n.logger)
+	known := &generations{spreading: n.spreading}
+	transport := &http.Transport{MaxIdleConnsPerHost: peerConnectionsIdle, IdleConnTimeout: peerIdleTimeout}
+	pool := brentry.NewPool(&http.Client{Transport: brentry.NewTransport(vm, known, transport)})
+	n.spread.following = brfollowing.New(vm, domain, n.clock, pool, n.spreading, n.polling, n.logger)
+	known.following = n.spread.following
+	n.spread.archiving = brarchiving.New(vm, n.clock, objects, n.logger)
+	n.spreading.SubscribeArchive(n.spread.archiving.States())
+	list := brvmlist.NewClient(client, platform.VMs(), platform.Timeout())
+	n.spread.membership = brmembership.New(n.clock, list, nil, n.logger)
+	n.spreading.Subscribe(n.spread.membership.Snapshots())
+	n.spread.membership.Subscribe(n.polling.Members())
+	n.spread.membership.Subscribe(n.spread.following.Members())
+	n.spread.membership.Subscribe(n.spread.archiving.Members())
+}
+
+func (n *Node) peersHandler() http.Handler {
+	known := &generations{spreading: n.spreading, following: n.spread.following}
+	return brentry.WithGeneration(n.settings.VM(), known, brentry.NewHandler(n.clock, n.spreading, n.timeline))
+}
