--- a/internal/model/brconfig/snapshot.go
+++ b/internal/model/brconfig/snapshot.go
@@ -14,6 +14,7 @@
 	generation uint64
 	stores     map[Kind]store
 	index      index
+	history    history
 }
 
 // NewSnapshot returns the empty configuration, generation 0.
@@ -67,6 +68,21 @@
 	return rows.all()
 }
 
+// Kinds returns the kinds of resources in ascending order.
+func (s *Snapshot) Kinds() []Kind {
+	return slices.Sorted(maps.Keys(s.stores))
+}
+
+// AllAfter iterates over the resources of a kind whose names lie above the
+// given one, by ascending name.
+func (s *Snapshot) AllAfter(kind Kind, name string) iter.Seq[Resource] {
+	rows, ok := s.stores[kind]
+	if !ok {
+		return func(func(Resource) bool) {}
+	}
+	return rows.allAfter(name)
+}
+
 func tableOf[T Resource](s *Snapshot, kind Kind) Table[T] {
 	typed, _ := s.stores[kind].(storeOf[T])
 	return typed.table
--- a/internal/service/brnode/duties.go
+++ b/internal/service/brnode/duties.go
@@ -12,6 +12,9 @@
 		n.steering.Duty(),
 		n.spreading.Duty(),
 		n.polling.Duty(),
+		n.spread.following.Duty(),
+		n.spread.membership.Duty(),
+		n.spread.archiving.Duty(),
 		n.shares.tenancy.Duty(),
 		n.shares.lending.Duty(),
 	)
--- a/internal/service/brnode/node.go
+++ b/internal/service/brnode/node.go
@@ -38,6 +38,7 @@
 	polling   *brpolling.Polling
 	requests  requestDuties
 	shares    shares
+	spread    spread
 	fronts    []front
 }
 
@@ -81,9 +82,10 @@
 	}
 }
 
-func (*Node) metrics() *prometheus.Registry {
+func (n *Node) metrics() *prometheus.Registry {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector())
 	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	registry.MustRegister(n.spreading.Collectors()...)
 	return registry
 }
