Honour keys only while what is known of them is fresh

Cause: admission honoured keys from whatever configuration a VM held, for ever; running requests outlived the withdrawal of their key; guesses cost nothing. Change: confirmations of the configuration reach admission and the duty that ends requests; a key is honoured up to its organisation's bound (5 s by default); sources of unknown keys are slowed down; ready only once a configuration is confirmed.

--- a/internal/duty/bradmission/duty.go
+++ b/internal/duty/bradmission/duty.go
@@ -20,7 +20,6 @@
 	"bergamotroad.example/bergamotroad/internal/core/brclock"
 	"bergamotroad.example/bergamotroad/internal/core/brduty"
 	"bergamotroad.example/bergamotroad/internal/core/brring"
-	"bergamotroad.example/bergamotroad/internal/decide/brkey"
 	"bergamotroad.example/bergamotroad/internal/decide/brroute"
 	"bergamotroad.example/bergamotroad/internal/decide/brshare"
 	"bergamotroad.example/bergamotroad/internal/model/brconfig"
@@ -51,7 +50,7 @@
 
 // New returns the duty; it refuses everything before the first snapshot.
 func New(clock brclock.Clock) *Admission {
-	h := &handler{clock: clock, limits: newLimits(clock)}
+	h := &handler{clock: clock, identity: newIdentity(), limits: newLimits(clock)}
 	return &Admission{
 		duty:     brduty.New("admission", h, clock, brduty.WithCapacity(queueCapacity), brduty.WithPeriod(tickPeriod)),
 		handler:  h,
@@ -85,7 +84,7 @@
 type handler struct {
 	clock    brclock.Clock
 	snapshot *brconfig.Snapshot
-	keys     *brkey.Keychain
+	identity *identity
 	routes   *brroute.Matcher
 	limits   *limits
 	parked   []parked
@@ -106,7 +105,7 @@
 // Update takes a new configuration.
 func (h *handler) Update(_ context.Context, snapshot *brconfig.Snapshot) {
 	h.snapshot = snapshot
-	h.keys = brkey.NewKeychain(snapshot)
+	h.identity.update(snapshot)
 	h.routes = brroute.NewMatcher(snapshot)
 	h.limits.update(snapshot)
 }
@@ -125,22 +124,12 @@
 	if !ok {
 		return brrequest.Refuse(brrequest.ReasonNoRoute, "", 0)
 	}
-	if request.KeyHash().IsZero() {
-		return h.withoutKey(route)
+	owner, unidentified := h.identity.of(request, h.clock.Now())
+	if unidentified.reason != brrequest.ReasonNone && !route.Open() {
+		return brrequest.Refuse(unidentified.reason, unidentified.organisation, unidentified.retryAfter)
 	}
-	organisation, ok := h.keys.Organisation(request.KeyHash()).Get()
-	if !ok && !route.Open() {
-		return brrequest.Refuse(brrequest.ReasonUnknownKey, "", 0)
-	}
-	if refusal, refused := h.limits.refuse(organisation, route); refused {
+	if refusal, refused := h.limits.refuse(owner.Name(), route); refused {
 		return refusal
 	}
-	return brrequest.Admit(organisation, route, h.snapshot.Generation())
-}
-
-func (h *handler) withoutKey(route brconfig.Route) brrequest.Verdict {
-	if !route.Open() {
-		return brrequest.Refuse(brrequest.ReasonNoKey, "", 0)
-	}
-	return brrequest.Admit("", route, h.snapshot.Generation())
+	return brrequest.Admit(owner.Name(), route, h.snapshot.Generation()).WithWeight(owner.Weight())
 }
--- a/internal/duty/brspreading/duty.go
+++ b/internal/duty/brspreading/duty.go
@@ -95,6 +95,18 @@
 	s.handler.subscribers = append(s.handler.subscribers, ring)
 }
 
+// Confirmer hears at which moments a VM's configuration was known to be current.
+type Confirmer interface {
+	// Confirm says that at a moment no accepted change was newer than the
+	// configuration that this VM holds.
+	Confirm(at time.Time)
+}
+
+// SubscribeConfirmed tells each later confirmation. It is called before the duty starts.
+func (s *Spreading) SubscribeConfirmed(confirmer Confirmer) {
+	s.handler.confirmers = append(s.handler.confirmers, confirmer)
+}
+
 // SubscribeArchive sends each state whose snapshot is due in the object store
 // to a ring. It is called before the duty starts.
 func (s *Spreading) SubscribeArchive(ring *brring.Latest[State]) {
--- a/internal/duty/brspreading/handler.go
+++ b/internal/duty/brspreading/handler.go
@@ -15,6 +15,7 @@
 )
 
 type handler struct {
+	confirmers  []Confirmer
 	clock       brclock.Clock
 	events      brevent.Recorder
 	metrics     *metrics
@@ -104,6 +105,7 @@
 		if r.at.After(h.state.confirmed) {
 			h.state.confirmed = r.at
 			h.metrics.confirmed.Set(float64(r.at.Unix()))
+			h.tellConfirmed(r.at)
 		}
 		return
 	}
@@ -117,6 +119,12 @@
 	}
 }
 
+func (h *handler) tellConfirmed(at time.Time) {
+	for _, c := range h.confirmers {
+		c.Confirm(at)
+	}
+}
+
 // agrees is false for a head of the VM's generation that is not the VM's.
 func (h *handler) agrees(head brdocument.Head) bool {
 	if head.Generation() != h.state.head.Generation() || head == h.state.head {
--- a/internal/peer/broperator/handler.go
+++ b/internal/peer/broperator/handler.go
@@ -24,6 +24,8 @@
 type Administration interface {
 	// Apply makes one change of all the given ones and returns its generation.
 	Apply(ctx context.Context, author string, changes []brconfig.Change) (uint64, error)
+	// Ready returns why the VM can't serve callers yet, or nil.
+	Ready(ctx context.Context) error
 	// Snapshot returns the configuration that this VM holds.
 	Snapshot(ctx context.Context) (*brconfig.Snapshot, error)
 }
@@ -64,10 +66,9 @@
 
 // readiness answers 200 once a configuration is in force.
 func (h *Handler) readiness(ctx iris.Context) {
-	snapshot, err := h.administration.Snapshot(ctx.Request().Context())
-	if err != nil || snapshot.Generation() == 0 {
+	if err := h.administration.Ready(ctx.Request().Context()); err != nil {
 		ctx.StatusCode(http.StatusServiceUnavailable)
-		_, _ = ctx.WriteString("no configuration is in force\n")
+		_, _ = ctx.WriteString(err.Error() + "\n")
 		return
 	}
 	_, _ = ctx.WriteString("ready\n")
--- a/internal/service/brdispatch/dispatcher.go
+++ b/internal/service/brdispatch/dispatcher.go
@@ -11,7 +11,7 @@
 //
 // # Usage
 //
-//	dispatcher := brdispatch.New(clock, admission, balancing, retrying, forwarding, poisoning, backend, entry, timeline)
+//	dispatcher := brdispatch.New(clock, admission, revoking, balancing, retrying, forwarding, poisoning, backend, entry, timeline)
 //	result := dispatcher.Dispatch(ctx, request, call, writer)
 //	if !result.Started() {
 //		// write a refusal with result.Reason() and result.Fate()
@@ -20,9 +20,11 @@
 
 import (
 	"context"
+	"time"
 
 	"bergamotroad.example/bergamotroad/internal/core/brclock"
 	"bergamotroad.example/bergamotroad/internal/decide/brpoison"
+	"bergamotroad.example/bergamotroad/internal/duty/brrevoking"
 	"bergamotroad.example/bergamotroad/internal/model/brconfig"
 	"bergamotroad.example/bergamotroad/internal/model/brevent"
 	"bergamotroad.example/bergamotroad/internal/model/brmessage"
@@ -36,6 +38,13 @@
 	Admit(ctx context.Context, request brrequest.Request) (brrequest.Verdict, error)
 }
 
+// Guard ends requests whose key is withdrawn while they run.
+type Guard interface {
+	// Guard returns a context that is cancelled once the key is no longer
+	// honoured, and a function that ends the guard.
+	Guard(ctx context.Context, key brrequest.KeyHash) (context.Context, context.CancelFunc, error)
+}
+
 // Balancing gives requests a backend server.
 type Balancing interface {
 	// Pick takes a slot of a server.
@@ -100,6 +109,7 @@
 type Dispatcher struct {
 	clock      brclock.Clock
 	admission  Admission
+	guard      Guard
 	balancing  Balancing
 	retrying   Retrying
 	forwarding Forwarding
@@ -110,10 +120,11 @@
 }
 
 // New returns a dispatcher.
-func New(clock brclock.Clock, admission Admission, balancing Balancing, retrying Retrying, forwarding Forwarding, poisoning Poisoning, backend Backend, entry Entry, events brevent.Recorder) *Dispatcher {
+func New(clock brclock.Clock, admission Admission, guard Guard, balancing Balancing, retrying Retrying, forwarding Forwarding, poisoning Poisoning, backend Backend, entry Entry, events brevent.Recorder) *Dispatcher {
 	return &Dispatcher{
 		clock:      clock,
 		admission:  admission,
+		guard:      guard,
 		balancing:  balancing,
 		retrying:   retrying,
 		forwarding: forwarding,
@@ -131,7 +142,21 @@
 	if err != nil {
 		verdict = brrequest.Refuse(brrequest.ReasonOverloaded, "", 0)
 	}
-	return d.carry(ctx, &job{request: request, verdict: verdict, call: call, writer: writer})
+	j := &job{request: request, verdict: verdict, call: call, writer: writer}
+	guarded, end, err := d.guard.Guard(ctx, request.KeyHash())
+	if err != nil {
+		return d.finish(j, refusal(brrequest.ReasonOverloaded, time.Second))
+	}
+	defer end()
+	return withdrawnIf(guarded, d.carry(guarded, j))
+}
+
+// withdrawnIf names the withdrawn key as the reason for a request's early end.
+func withdrawnIf(ctx context.Context, result Result) Result {
+	if !result.Whole() && brrevoking.IsErrWithdrawn(context.Cause(ctx)) {
+		result.reason = brrequest.ReasonKeyWithdrawn
+	}
+	return result
 }
 
 // Receive carries a request that another entry VM has admitted. It is placed
--- a/internal/service/brnode/duties.go
+++ b/internal/service/brnode/duties.go
@@ -11,6 +11,7 @@
 		n.balancing.Duty(),
 		n.steering.Duty(),
 		n.spreading.Duty(),
+		n.revoking.Duty(),
 		n.polling.Duty(),
 		n.spread.following.Duty(),
 		n.spread.membership.Duty(),
--- a/internal/service/brnode/node.go
+++ b/internal/service/brnode/node.go
@@ -18,6 +18,7 @@
 	"bergamotroad.example/bergamotroad/internal/duty/bradmission"
 	"bergamotroad.example/bergamotroad/internal/duty/brbalancing"
 	"bergamotroad.example/bergamotroad/internal/duty/brpolling"
+	"bergamotroad.example/bergamotroad/internal/duty/brrevoking"
 	"bergamotroad.example/bergamotroad/internal/duty/brspreading"
 	"bergamotroad.example/bergamotroad/internal/duty/brsteering"
 	"bergamotroad.example/bergamotroad/internal/duty/brtimeline"
@@ -35,6 +36,7 @@
 	balancing *brbalancing.Balancing
 	steering  *brsteering.Steering
 	spreading *brspreading.Spreading
+	revoking  *brrevoking.Revoking
 	polling   *brpolling.Polling
 	requests  requestDuties
 	shares    shares
@@ -50,7 +52,11 @@
 	n.balancing = brbalancing.New(settings.Domain(), clock)
 	n.steering = brsteering.New(clock)
 	n.spreading = brspreading.New(clock, n.timeline)
+	n.revoking = brrevoking.New(clock)
 	n.spreading.Subscribe(n.admission.Snapshots())
+	n.spreading.Subscribe(n.revoking.Snapshots())
+	n.spreading.SubscribeConfirmed(n.admission)
+	n.spreading.SubscribeConfirmed(n.revoking)
 	n.spreading.Subscribe(n.balancing.Snapshots())
 	n.spreading.Subscribe(n.steering.Snapshots())
 	n.requests = newRequestDuties(settings, clock, n.timeline)
