Attest that nothing was accepted while the table can't be read

Cause: with the platform's table down no VM can confirm its knowledge of keys, so that all keyed requests would be refused 5 s later, although nobody can withdraw a key without the table. Change: three witnesses, the same for all VMs at one generation; writers announce themselves to one of them, VMs that can't read the table ask all.

--- a/internal/core/brring/reply.go
+++ b/internal/core/brring/reply.go
@@ -16,6 +16,9 @@
 	return Reply[T]{ring: ring}
 }
 
+// Expected reports whether someone waits for the answer; the zero Reply has nobody.
+func (r Reply[T]) Expected() bool { return r.ring != nil }
+
 // Answer hands the answer to the sender. A second answer is dropped.
 func (r Reply[T]) Answer(answer T) {
 	_ = r.ring.Send(answer)
--- /dev/null
+++ b/internal/decide/brwitness/witness_test.go
@@ -0,0 +1,158 @@
+package brwitness_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"bergamotroad.example/bergamotroad/internal/decide/brwitness"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	_ "bergamotroad.example/bergamotroad/internal/standin/brseed"
+)
+
+var start = time.Date(2026, time.December, 4, 0, 0, 0, 0, time.UTC)
+
+// writer is one attempt to move the head.
+type writer struct {
+	operation string
+	witness   int
+	begun     time.Time
+	base      int // head that it follows
+	sent      bool
+	landed    bool
+}
+
+// fleet is a table, its witnesses and writers, and a reader that never reads
+// the table.
+type fleet struct {
+	now       time.Time
+	head      int
+	moved     map[int]time.Time // when each head was accepted
+	witnesses []*brwitness.Witness
+	heads     []int // what each witness holds
+	writers   []*writer
+}
+
+// Whoever announces, crashes, loses messages or restarts, a reader that is
+// confirmed by all witnesses holds a head that was the newest when it asked.
+func TestConfirmedHeadWasTheNewest(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleet{now: start.Add(brwitness.LandingTime), moved: map[int]time.Time{}}
+		for range brwitness.Count {
+			witness := brwitness.NewWitness(start)
+			witness.TableRead(f.now)
+			f.witnesses = append(f.witnesses, witness)
+			f.heads = append(f.heads, 0)
+		}
+		reader := 0
+		which := func(t *rapid.T) int { return rapid.IntRange(0, brwitness.Count-1).Draw(t, "witness") }
+		anyWriter := func(t *rapid.T) *writer {
+			if len(f.writers) == 0 {
+				t.Skip("nobody writes")
+			}
+			return rapid.SampledFrom(f.writers).Draw(t, "writer")
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"wait": func(t *rapid.T) {
+				f.now = f.now.Add(time.Duration(rapid.IntRange(1, 6000).Draw(t, "milliseconds")) * time.Millisecond)
+			},
+			"announce": func(t *rapid.T) {
+				w := &writer{operation: fmt.Sprint(len(f.writers)), witness: which(t), begun: f.now, base: f.head}
+				require.True(t, f.witnesses[w.witness].Begin(w.operation, f.now))
+				f.writers = append(f.writers, w)
+			},
+			"commit": func(t *rapid.T) {
+				w := anyWriter(t)
+				if f.now.Sub(w.begun) <= brwitness.CommitTime {
+					w.sent = true
+				}
+			},
+			"land": func(t *rapid.T) {
+				w := anyWriter(t)
+				if !w.sent || w.landed || w.base != f.head || f.now.Sub(w.begun) >= brwitness.LandingTime {
+					t.Skip("nothing lands")
+				}
+				w.landed = true
+				f.head++
+				f.moved[f.head] = f.now
+			},
+			"end": func(t *rapid.T) {
+				w := anyWriter(t)
+				if !w.landed {
+					t.Skip("outcome is not known")
+				}
+				// The end carries the new head, which the witness takes over.
+				f.heads[w.witness] = max(f.heads[w.witness], w.base+1)
+				f.witnesses[w.witness].End(w.operation)
+			},
+			"witness reads the table": func(t *rapid.T) {
+				i := which(t)
+				f.heads[i] = f.head
+				f.witnesses[i].TableRead(f.now)
+			},
+			"witness restarts": func(t *rapid.T) {
+				i := which(t)
+				f.witnesses[i] = brwitness.NewWitness(f.now)
+				f.heads[i] = rapid.IntRange(0, f.head).Draw(t, "head")
+			},
+			"reader catches up": func(t *rapid.T) {
+				reader = rapid.IntRange(reader, f.head).Draw(t, "head")
+			},
+			"reader asks": func(t *rapid.T) {
+				evidence := brwitness.NewEvidence([]string{"0", "1", "2"}, f.now)
+				asked := f.now
+				for _, i := range rapid.Permutation([]int{0, 1, 2}).Draw(t, "order") {
+					evidence.Add(fmt.Sprint(i), f.witnesses[i].Quiet(), f.heads[i] == reader)
+				}
+				if at, ok := evidence.Confirmed().Get(); ok {
+					require.Equal(t, asked, at)
+					next, moved := f.moved[reader+1]
+					require.False(t, moved && !next.After(at), "head %d was accepted at %v", reader+1, next)
+				}
+			},
+		})
+	})
+}
+
+func TestEvidenceNeedsEveryWitness(t *testing.T) {
+	evidence := brwitness.NewEvidence([]string{"a", "b"}, start)
+	evidence.Add("a", true, true)
+	require.False(t, evidence.Confirmed().IsPresent())
+	evidence.Add("b", true, true)
+	require.True(t, evidence.Confirmed().IsPresent())
+	evidence.Add("b", false, true)
+	require.False(t, evidence.Confirmed().IsPresent())
+	require.False(t, brwitness.NewEvidence(nil, start).Confirmed().IsPresent(), "no witness attests nothing")
+}
+
+func TestWitnessesLieInDifferentDomains(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		domains := rapid.IntRange(1, 6).Draw(t, "domains")
+		vms := rapid.IntRange(1, 12).Draw(t, "VMs")
+		meta := brconfig.NewMeta
+		changes := []brconfig.Change{brconfig.Put(brconfig.NewRegion(meta("region")))}
+		for d := range domains {
+			name := fmt.Sprint("domain-", d)
+			changes = append(changes, brconfig.Put(brconfig.NewDomain(meta(name), "region")), brconfig.Put(brconfig.NewSite(meta(name), name)))
+		}
+		for v := range vms {
+			changes = append(changes, brconfig.Put(brconfig.NewVM(meta(fmt.Sprint("vm-", v)), fmt.Sprint("domain-", v%domains), "", fmt.Sprint("10.0.0.1:", v+1))))
+		}
+		snapshot, err := brconfig.NewSnapshot().Apply(1, changes)
+		require.NoError(t, err)
+		chosen := brwitness.Choose(snapshot)
+		require.Len(t, chosen, min(brwitness.Count, vms))
+		require.Len(t, slices.Compact(slices.Clone(chosen)), len(chosen))
+		used := map[string]bool{}
+		for _, name := range chosen {
+			vm, ok := snapshot.VMs().Get(name).Get()
+			require.True(t, ok)
+			used[vm.Site()] = true
+		}
+		require.Len(t, used, min(brwitness.Count, vms, domains))
+	})
+}
--- /dev/null
+++ b/internal/duty/brinquiring/duty.go
@@ -0,0 +1,118 @@
+// Package brinquiring provides the duty that asks the witnesses, while the
+// platform's table can't be read, whether the configuration is still current.
+//
+// Only the VMs that poll the table for their failure domain ask, and only once
+// their own knowledge gets old; the others learn it from them.
+//
+// # Usage
+//
+//	inquiring := brinquiring.New("vm-1", "montevideo-a", clock, spreading, dialer)
+//	membership.Subscribe(inquiring.Members())
+//	group.Start(inquiring.Duty())
+package brinquiring
+
+import (
+	"context"
+	"time"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/core/brduty"
+	"bergamotroad.example/bergamotroad/internal/core/brring"
+	"bergamotroad.example/bergamotroad/internal/decide/brspread"
+	"bergamotroad.example/bergamotroad/internal/decide/brwitness"
+	"bergamotroad.example/bergamotroad/internal/duty/brspreading"
+	"bergamotroad.example/bergamotroad/internal/duty/brwitnessing"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brmember"
+)
+
+const (
+	tickPeriod = 500 * time.Millisecond
+	// answerTime bounds the wait for one witness.
+	answerTime = 300 * time.Millisecond
+)
+
+// Dialer reaches witnesses.
+type Dialer interface {
+	// Attest asks the VM at host:port for its attestation.
+	Attest(ctx context.Context, address string) (brwitnessing.Attestation, error)
+}
+
+// Inquiring is the duty.
+type Inquiring struct {
+	duty *brduty.Duty[struct{}, brmember.List]
+}
+
+// New returns the duty of a VM that confirms its configuration to spreading.
+func New(vm, domain string, clock brclock.Clock, spreading *brspreading.Spreading, dialer Dialer) *Inquiring {
+	h := &handler{
+		vm:        vm,
+		domain:    domain,
+		clock:     clock,
+		spreading: spreading,
+		dialer:    dialer,
+		plan:      brspread.NewPlan(vm, domain, nil),
+	}
+	return &Inquiring{duty: brduty.New[struct{}, brmember.List]("inquiring", h, clock, brduty.WithPeriod(tickPeriod))}
+}
+
+// Duty returns the duty to be started.
+func (i *Inquiring) Duty() brduty.Runner { return i.duty }
+
+// Members returns the ring that takes the VMs.
+func (i *Inquiring) Members() *brring.Latest[brmember.List] { return i.duty.Snapshots() }
+
+type handler struct {
+	vm        string
+	domain    string
+	clock     brclock.Clock
+	spreading *brspreading.Spreading
+	dialer    Dialer
+	plan      brspread.Plan
+}
+
+// Handle does nothing: no messages are sent to this duty.
+func (*handler) Handle(context.Context, struct{}) {}
+
+// Update takes the VMs.
+func (h *handler) Update(_ context.Context, members brmember.List) {
+	h.plan = brspread.NewPlan(h.vm, h.domain, members.All())
+}
+
+// Tick asks all witnesses once this VM's knowledge is old.
+func (h *handler) Tick(ctx context.Context, now time.Time) {
+	state, err := h.spreading.State(ctx)
+	if err != nil || state.Confirmed().IsZero() {
+		return
+	}
+	stale := brspread.NewKnowledge(now.Sub(state.Confirmed()), 0).Stale()
+	if !stale || !h.plan.Poller() {
+		return
+	}
+	asked := h.clock.Now()
+	at, ok := h.inquire(ctx, state, asked).Confirmed().Get()
+	if !ok {
+		return
+	}
+	_, _ = h.spreading.Confirm(ctx, state.Head(), at, false)
+}
+
+func (h *handler) inquire(ctx context.Context, state brspreading.State, asked time.Time) *brwitness.Evidence {
+	names := brwitness.Choose(state.Snapshot())
+	evidence := brwitness.NewEvidence(names, asked)
+	for _, name := range names {
+		attestation, err := h.attest(ctx, state.Snapshot(), name)
+		if err != nil {
+			return evidence
+		}
+		evidence.Add(name, attestation.Quiet(), attestation.Head() == state.Head())
+	}
+	return evidence
+}
+
+func (h *handler) attest(ctx context.Context, snapshot *brconfig.Snapshot, name string) (brwitnessing.Attestation, error) {
+	vm, _ := snapshot.VMs().Get(name).Get()
+	ctx, cancel := context.WithTimeout(ctx, answerTime)
+	defer cancel()
+	return h.dialer.Attest(ctx, vm.PeerAddress())
+}
--- a/internal/duty/brspreading/duty.go
+++ b/internal/duty/brspreading/duty.go
@@ -107,6 +107,12 @@
 	s.handler.confirmers = append(s.handler.confirmers, confirmer)
 }
 
+// SubscribeTableRead tells each later moment at which the platform's table held
+// this VM's head. It is called before the duty starts.
+func (s *Spreading) SubscribeTableRead(confirmer Confirmer) {
+	s.handler.tableReaders = append(s.handler.tableReaders, confirmer)
+}
+
 // SubscribeArchive sends each state whose snapshot is due in the object store
 // to a ring. It is called before the duty starts.
 func (s *Spreading) SubscribeArchive(ring *brring.Latest[State]) {
--- a/internal/duty/brspreading/handler.go
+++ b/internal/duty/brspreading/handler.go
@@ -15,7 +15,8 @@
 )
 
 type handler struct {
-	confirmers  []Confirmer
+	confirmers   []Confirmer
+	tableReaders []Confirmer
 	clock       brclock.Clock
 	events      brevent.Recorder
 	metrics     *metrics
@@ -102,10 +103,13 @@
 // confirm compares a head that was read elsewhere with the VM's own.
 func (h *handler) confirm(r reading) {
 	if r.head == h.state.head {
+		if r.platform {
+			tell(h.tableReaders, r.at)
+		}
 		if r.at.After(h.state.confirmed) {
 			h.state.confirmed = r.at
 			h.metrics.confirmed.Set(float64(r.at.Unix()))
-			h.tellConfirmed(r.at)
+			tell(h.confirmers, r.at)
 		}
 		return
 	}
@@ -119,8 +123,8 @@
 	}
 }
 
-func (h *handler) tellConfirmed(at time.Time) {
-	for _, c := range h.confirmers {
+func tell(confirmers []Confirmer, at time.Time) {
+	for _, c := range confirmers {
 		c.Confirm(at)
 	}
 }
--- /dev/null
+++ b/internal/peer/brentry/witness.go
@@ -0,0 +1,100 @@
+package brentry
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/duty/brwitnessing"
+	"bergamotroad.example/bergamotroad/internal/peer/brentrypb"
+)
+
+// Witnessing is this VM as a witness.
+type Witnessing interface {
+	// Begin takes the announcement of a write and reports whether it was taken.
+	Begin(ctx context.Context, operation string) (bool, error)
+	// End takes the end of an announced write with the delta that was accepted.
+	End(ctx context.Context, operation string, delta []byte) error
+	// Attest returns what this witness says.
+	Attest(ctx context.Context) (brwitnessing.Attestation, error)
+}
+
+type witnessServer struct {
+	witnessing Witnessing
+}
+
+// WithWitness returns a handler that also answers as a witness.
+func WithWitness(next http.Handler, witnessing Witnessing) http.Handler {
+	mux := http.NewServeMux()
+	server := brentrypb.NewWitnessingServer(&witnessServer{witnessing: witnessing})
+	mux.Handle(server.PathPrefix(), server)
+	mux.Handle("/", next)
+	return mux
+}
+
+// Begin takes the announcement of a write.
+func (s *witnessServer) Begin(ctx context.Context, request *brentrypb.BeginRequest) (*brentrypb.BeginReply, error) {
+	taken, err := s.witnessing.Begin(ctx, request.GetOperation())
+	if err != nil {
+		return nil, errors.Errorf("begin write: %w", err)
+	}
+	return &brentrypb.BeginReply{Taken: taken}, nil
+}
+
+// End takes the end of an announced write.
+func (s *witnessServer) End(ctx context.Context, request *brentrypb.EndRequest) (*brentrypb.EndReply, error) {
+	if err := s.witnessing.End(ctx, request.GetOperation(), request.GetDelta()); err != nil {
+		return nil, errors.Errorf("end write: %w", err)
+	}
+	return &brentrypb.EndReply{}, nil
+}
+
+// Attest returns what this witness says.
+func (s *witnessServer) Attest(ctx context.Context, _ *brentrypb.AttestRequest) (*brentrypb.AttestReply, error) {
+	attestation, err := s.witnessing.Attest(ctx)
+	if err != nil {
+		return nil, errors.Errorf("attest: %w", err)
+	}
+	return &brentrypb.AttestReply{Quiet: attestation.Quiet(), Head: messageOfHead(attestation.Head())}, nil
+}
+
+// Witnesses reaches other VMs as witnesses.
+type Witnesses struct {
+	client *http.Client
+}
+
+// NewWitnesses returns witnesses that are reached with the client's connections.
+func NewWitnesses(client *http.Client) *Witnesses {
+	return &Witnesses{client: client}
+}
+
+// Begin announces a write to the VM at host:port.
+func (w *Witnesses) Begin(ctx context.Context, address, operation string) (bool, error) {
+	reply, err := w.dial(address).Begin(ctx, &brentrypb.BeginRequest{Operation: operation})
+	if err != nil {
+		return false, errors.Errorf("announce write to %s: %w", address, err)
+	}
+	return reply.GetTaken(), nil
+}
+
+// End tells the VM at host:port that the outcome of a write is known.
+func (w *Witnesses) End(ctx context.Context, address, operation string, delta []byte) error {
+	if _, err := w.dial(address).End(ctx, &brentrypb.EndRequest{Operation: operation, Delta: delta}); err != nil {
+		return errors.Errorf("end write at %s: %w", address, err)
+	}
+	return nil
+}
+
+// Attest asks the VM at host:port for its attestation.
+func (w *Witnesses) Attest(ctx context.Context, address string) (brwitnessing.Attestation, error) {
+	reply, err := w.dial(address).Attest(ctx, &brentrypb.AttestRequest{})
+	if err != nil {
+		return brwitnessing.Attestation{}, errors.Errorf("ask %s to attest: %w", address, err)
+	}
+	return brwitnessing.NewAttestation(reply.GetQuiet(), headOf(reply.GetHead())), nil
+}
+
+func (w *Witnesses) dial(address string) brentrypb.Witnessing {
+	return brentrypb.NewWitnessingProtobufClient("http://"+address, w.client)
+}
--- a/internal/service/brnode/duties.go
+++ b/internal/service/brnode/duties.go
@@ -16,6 +16,8 @@
 		n.spread.following.Duty(),
 		n.spread.membership.Duty(),
 		n.spread.archiving.Duty(),
+		n.spread.witnessing.Duty(),
+		n.spread.inquiring.Duty(),
 		n.shares.tenancy.Duty(),
 		n.shares.lending.Duty(),
 	)
--- a/internal/service/brnode/spread.go
+++ b/internal/service/brnode/spread.go
@@ -6,9 +6,11 @@
 
 	"bergamotroad.example/bergamotroad/internal/duty/brarchiving"
 	"bergamotroad.example/bergamotroad/internal/duty/brfollowing"
+	"bergamotroad.example/bergamotroad/internal/duty/brinquiring"
 	"bergamotroad.example/bergamotroad/internal/duty/brmembership"
 	"bergamotroad.example/bergamotroad/internal/duty/brpolling"
 	"bergamotroad.example/bergamotroad/internal/duty/brspreading"
+	"bergamotroad.example/bergamotroad/internal/duty/brwitnessing"
 	"bergamotroad.example/bergamotroad/internal/peer/brentry"
 	"bergamotroad.example/bergamotroad/internal/peer/brobject"
 	"bergamotroad.example/bergamotroad/internal/peer/brtable"
@@ -26,6 +28,8 @@
 	following  *brfollowing.Following
 	membership *brmembership.Membership
 	archiving  *brarchiving.Archiving
+	witnessing *brwitnessing.Witnessing
+	inquiring  *brinquiring.Inquiring
 }
 
 // generations is the VM's own generation and what is heard of others'.
@@ -46,10 +50,14 @@
 	n.polling = brpolling.New(vm, domain, n.clock, table, objects, n.spreading, n.logger)
 	known := &generations{spreading: n.spreading}
 	transport := &http.Transport{MaxIdleConnsPerHost: peerConnectionsIdle, IdleConnTimeout: peerIdleTimeout}
-	pool := brentry.NewPool(&http.Client{Transport: brentry.NewTransport(vm, known, transport)})
+	peers := &http.Client{Transport: brentry.NewTransport(vm, known, transport)}
+	pool := brentry.NewPool(peers)
 	n.spread.following = brfollowing.New(vm, domain, n.clock, pool, n.spreading, n.polling, n.logger)
 	known.following = n.spread.following
 	n.spread.archiving = brarchiving.New(vm, n.clock, objects, n.logger)
+	n.spread.witnessing = brwitnessing.New(n.clock, n.spreading)
+	n.spreading.SubscribeTableRead(n.spread.witnessing)
+	n.spread.inquiring = brinquiring.New(vm, domain, n.clock, n.spreading, brentry.NewWitnesses(peers))
 	n.spreading.SubscribeArchive(n.spread.archiving.States())
 	list := brvmlist.NewClient(client, platform.VMs(), platform.Timeout())
 	n.spread.membership = brmembership.New(n.clock, list, nil, n.logger)
@@ -57,9 +65,11 @@
 	n.spread.membership.Subscribe(n.polling.Members())
 	n.spread.membership.Subscribe(n.spread.following.Members())
 	n.spread.membership.Subscribe(n.spread.archiving.Members())
+	n.spread.membership.Subscribe(n.spread.inquiring.Members())
 }
 
 func (n *Node) peersHandler() http.Handler {
 	known := &generations{spreading: n.spreading, following: n.spread.following}
-	return brentry.WithGeneration(n.settings.VM(), known, brentry.NewHandler(n.clock, n.spreading, n.timeline, n.admission))
+	return brentry.WithGeneration(n.settings.VM(), known, brentry.WithWitness(
+		brentry.NewHandler(n.clock, n.spreading, n.timeline, n.admission), n.spread.witnessing))
 }
