--- a/internal/duty/brspreading/handler.go
+++ b/internal/duty/brspreading/handler.go
@@ -17,16 +17,16 @@
 type handler struct {
 	confirmers   []Confirmer
 	tableReaders []Confirmer
-	clock       brclock.Clock
-	events      brevent.Recorder
-	metrics     *metrics
-	generation  *atomic.Uint64
-	subscribers []*brring.Latest[*brconfig.Snapshot]
-	archives    []*brring.Latest[State]
-	state       State
-	changed     time.Time
-	reported    brdocument.Head
-	waiters     []message
+	clock        brclock.Clock
+	events       brevent.Recorder
+	metrics      *metrics
+	generation   *atomic.Uint64
+	subscribers  []*brring.Latest[*brconfig.Snapshot]
+	archives     []*brring.Latest[State]
+	state        State
+	changed      time.Time
+	reported     brdocument.Head
+	waiters      []message
 }
 
 // Handle takes deltas, a snapshot, a reading of a head, a question or a wait.
