--- /dev/null
+++ b/internal/decide/brcheck/selector.go
@@ -0,0 +1,80 @@
+package brcheck
+
+import (
+	"fmt"
+	"slices"
+
+	"bergamotroad.example/bergamotroad/internal/core/brset"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brlabel"
+	"bergamotroad.example/bergamotroad/internal/model/brunit"
+)
+
+const (
+	maxRequirements = 16
+	maxValues       = 64
+	maxTargets      = 256
+	maxPriority     = 1_000_000
+	maxDenominator  = 1_000_000_000
+)
+
+// selectable are the kinds that selectors select.
+var selectable = brset.New(brconfig.KindOrganisation, brconfig.KindRoute, brconfig.KindService,
+	brconfig.KindServer, brconfig.KindRegion, brconfig.KindDomain)
+
+func (c *checker) selector(s brconfig.Selector) {
+	c.require(selectable.Has(s.Selects()), "spec.selects", "must be one of %v", brset.Sorted(selectable))
+	c.require(s.Priority() >= -maxPriority && s.Priority() <= maxPriority, "spec.priority", "must be up to %d", maxPriority)
+	requirements := s.Expression().Requirements()
+	c.require(len(requirements) <= maxRequirements, "spec.where", "must be up to %d conditions", maxRequirements)
+	for i, r := range requirements {
+		c.requirement(fmt.Sprintf("spec.where[%d]", i), r)
+	}
+	switch s.Effect().Kind() {
+	case brconfig.EffectWeights:
+		c.weights(s.Effect().Weights())
+	case brconfig.EffectCap:
+		c.countable("spec.effect.cap", s.Effect().Cap())
+	case brconfig.EffectVersion:
+		c.name("spec.effect.version", s.Effect().Version())
+	}
+}
+
+func (c *checker) requirement(field string, r brlabel.Requirement) {
+	c.name(field+".key", r.Key())
+	c.require(len(r.Values()) <= maxValues, field+".values", "must be up to %d", maxValues)
+	switch r.Operator() {
+	case brlabel.OperatorIn, brlabel.OperatorNotIn:
+		c.require(len(r.Values()) > 0, field+".values", "must be at least 1")
+	case brlabel.OperatorExists, brlabel.OperatorAbsent:
+		c.require(len(r.Values()) == 0, field+".values", "must not be given")
+	default:
+		c.fault(field+".operator", "must be in, notin, exists or absent")
+	}
+}
+
+// countable checks a fraction that is to be counted exactly.
+func (c *checker) countable(field string, fraction brunit.Amount) {
+	c.fraction(field, fraction)
+	denominator := fraction.Rat().Denom()
+	c.require(denominator.IsInt64() && denominator.Int64() <= maxDenominator, field, "denominator must be up to %d", maxDenominator)
+}
+
+func (c *checker) weights(weights []brconfig.Weight) {
+	c.require(len(weights) <= maxTargets, "spec.effect.weights", "must be up to %d", maxTargets)
+	kinds := []brconfig.TargetKind{brconfig.TargetRegion, brconfig.TargetDomain, brconfig.TargetVersion}
+	seen := brset.New[brconfig.Reference]()
+	sum := brunit.Amount{}.Rat()
+	for i, w := range weights {
+		field := fmt.Sprintf("spec.effect.weights[%d]", i)
+		c.require(slices.Contains(kinds, w.Target()), field+".target", "must be region, domain or version")
+		c.require(w.Target() == weights[0].Target(), field+".target", "must be %s as the first is", weights[0].Target())
+		c.require(seen.Add(brconfig.NewReference(brconfig.Kind(w.Target()), w.Name())), field+".name", "%q stands twice", w.Name())
+		c.name(field+".name", w.Name())
+		c.countable(field+".fraction", w.Fraction())
+		if w.Fraction().Rat().Denom().IsInt64() && i < maxTargets {
+			sum.Add(sum, w.Fraction().Rat())
+		}
+	}
+	c.require(sum.Cmp(one.Rat()) == 0, "spec.effect.weights", "must sum to 1, not %s", sum.RatString())
+}
--- /dev/null
+++ b/internal/decide/brpace/pace_test.go
@@ -0,0 +1,35 @@
+package brpace_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"bergamotroad.example/bergamotroad/internal/decide/brpace"
+	_ "bergamotroad.example/bergamotroad/internal/standin/brseed"
+)
+
+// What is let through never exceeds a burst and what the time since has paid
+// off, and whoever waits as told is let through.
+func TestPaceKeepsToItsRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 20).Draw(t, "count")
+		pace := brpace.New(count, time.Minute)
+		started := time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC)
+		now := started
+		taken := 0
+		for range 100 {
+			wait := pace.Take(now)
+			if wait > 0 {
+				now = now.Add(wait)
+				require.Zero(t, pace.Take(now))
+			}
+			taken++
+			interval := time.Minute / time.Duration(count)
+			require.LessOrEqual(t, taken, count+int(now.Sub(started)/interval))
+			now = now.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "pause")) * time.Second)
+		}
+	})
+}
--- /dev/null
+++ b/internal/duty/brwriting/duty.go
@@ -0,0 +1,107 @@
+// Package brwriting provides the duty that bounds how often teams change the
+// configuration through a VM, so that one team's script does not starve the others.
+//
+// # Usage
+//
+//	writing := brwriting.New(clock)
+//	spreading.Subscribe(writing.Snapshots())
+//	group.Start(writing.Duty())
+//	wait, err := writing.Take(ctx, "azul")
+package brwriting
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/core/brduty"
+	"bergamotroad.example/bergamotroad/internal/core/brring"
+	"bergamotroad.example/bergamotroad/internal/decide/brpace"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+)
+
+const (
+	queueCapacity           = 1024 // messages
+	period                  = time.Minute
+	platformWritesPerMinute = 600
+)
+
+type message struct {
+	team  string
+	reply brring.Reply[time.Duration]
+}
+
+// Writing is the duty with the calls that reach it.
+type Writing struct {
+	duty  *brduty.Duty[message, *brconfig.Snapshot]
+	waits *brring.ReplyPool[time.Duration]
+}
+
+// New returns the duty.
+func New(clock brclock.Clock) *Writing {
+	h := &handler{clock: clock, teams: brconfig.NewSnapshot().Teams(), paces: map[string]*brpace.Pace{}}
+	return &Writing{
+		duty:  brduty.New[message, *brconfig.Snapshot]("writing", h, clock, brduty.WithCapacity(queueCapacity)),
+		waits: brring.NewReplyPool[time.Duration](),
+	}
+}
+
+// Duty returns the duty to be started.
+func (w *Writing) Duty() brduty.Runner { return w.duty }
+
+// Snapshots returns the ring that takes snapshots.
+func (w *Writing) Snapshots() *brring.Latest[*brconfig.Snapshot] { return w.duty.Snapshots() }
+
+// Take counts one change of a team and returns 0, or returns how long the team has to wait.
+func (w *Writing) Take(ctx context.Context, team string) (time.Duration, error) {
+	wait, err := brring.Ask(ctx, w.duty.Queue(), w.waits, func(reply brring.Reply[time.Duration]) message {
+		return message{team: team, reply: reply}
+	})
+	if err != nil {
+		return 0, errors.Errorf("ask for pace of team %q: %w", team, err)
+	}
+	return wait, nil
+}
+
+type handler struct {
+	clock brclock.Clock
+	teams brconfig.Table[brconfig.Team]
+	paces map[string]*brpace.Pace
+}
+
+// Handle counts one change.
+func (h *handler) Handle(_ context.Context, m message) {
+	pace, ok := h.paces[m.team]
+	if !ok {
+		pace = brpace.New(h.limit(m.team), period)
+		h.paces[m.team] = pace
+	}
+	m.reply.Answer(pace.Take(h.clock.Now()))
+}
+
+// Update takes the limits of a snapshot.
+func (h *handler) Update(_ context.Context, snapshot *brconfig.Snapshot) {
+	h.teams = snapshot.Teams()
+	for team, pace := range h.paces {
+		if _, ok := h.teams.Get(team).Get(); !ok && team != "" {
+			delete(h.paces, team)
+			continue
+		}
+		h.paces[team] = pace.WithCount(h.limit(team))
+	}
+}
+
+// Tick does nothing.
+func (*handler) Tick(context.Context, time.Time) {}
+
+func (h *handler) limit(team string) int {
+	if t, ok := h.teams.Get(team).Get(); ok {
+		return t.WritesPerMinute()
+	}
+	if team == "" {
+		return platformWritesPerMinute
+	}
+	return brconfig.DefaultTeamWritesPerMinute
+}
--- /dev/null
+++ b/internal/duty/brwriting/duty_test.go
@@ -0,0 +1,44 @@
+package brwriting_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/core/brduty"
+	"bergamotroad.example/bergamotroad/internal/duty/brwriting"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+)
+
+type nobody struct{}
+
+func (nobody) DutyStalled(string, int)          {}
+func (nobody) DutyPanicked(string, any, []byte) {}
+
+func TestOneTeamsChangesDoNotStarveAnother(t *testing.T) {
+	clock := brclock.NewFake(time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC))
+	writing := brwriting.New(clock)
+	group := brduty.NewGroup(t.Context(), clock, nobody{})
+	group.Start(writing.Duty())
+	defer group.Stop()
+	snapshot, err := brconfig.NewSnapshot().Apply(1, []brconfig.Change{
+		brconfig.Put(brconfig.NewTeam(brconfig.NewMeta("azul")).WithWritesPerMinute(2)),
+		brconfig.Put(brconfig.NewTeam(brconfig.NewMeta("rojo")).WithWritesPerMinute(2)),
+	})
+	require.NoError(t, err)
+	require.NoError(t, writing.Snapshots().Send(snapshot))
+	take := func(team string) time.Duration {
+		wait, err := writing.Take(t.Context(), team)
+		require.NoError(t, err)
+		return wait
+	}
+	require.Zero(t, take("azul"))
+	require.Zero(t, take("azul"))
+	require.Equal(t, 30*time.Second, take("azul"))
+	require.Zero(t, take("rojo"))
+	clock.Advance(30 * time.Second)
+	require.Zero(t, take("azul"))
+	require.Positive(t, take("azul"))
+}
--- a/internal/model/brconfig/snapshot.go
+++ b/internal/model/brconfig/snapshot.go
@@ -67,6 +67,15 @@
 	return rows.all()
 }
 
+// Len returns the number of resources of a kind.
+func (s *Snapshot) Len(kind Kind) int {
+	rows, ok := s.stores[kind]
+	if !ok {
+		return 0
+	}
+	return rows.count()
+}
+
 func tableOf[T Resource](s *Snapshot, kind Kind) Table[T] {
 	typed, _ := s.stores[kind].(storeOf[T])
 	return typed.table
--- a/internal/model/brconfig/table.go
+++ b/internal/model/brconfig/table.go
@@ -66,6 +66,7 @@
 type store interface {
 	get(name string) broption.Option[Resource]
 	all() iter.Seq[Resource]
+	count() int
 	put(row Resource) (store, bool)
 	remove(name string) store
 }
@@ -89,6 +90,8 @@
 	}
 }
 
+func (s storeOf[T]) count() int { return s.table.Len() }
+
 func (s storeOf[T]) put(row Resource) (store, bool) {
 	typed, ok := row.(T)
 	if !ok {
--- /dev/null
+++ b/internal/model/brevent/change.go
@@ -0,0 +1,10 @@
+package brevent
+
+// The kinds of events of the administration.
+const (
+	KindChangeAccepted Kind = "change-accepted"
+	KindChangeDenied   Kind = "change-denied"
+	KindChangeRefused  Kind = "change-refused"
+	KindChangeUnknown  Kind = "change-outcome-unknown"
+	KindAccessDenied   Kind = "access-denied"
+)
--- a/internal/model/brprincipal/principal.go
+++ b/internal/model/brprincipal/principal.go
@@ -15,6 +15,7 @@
 	name string
 	team string
 	role brconfig.Role
+	hash string
 }
 
 // New returns the operator of a name, a team and a role. The team "" is that of
@@ -23,6 +24,15 @@
 	return Principal{name: name, team: team, role: role}
 }
 
+// WithHash returns the operator with the hash of the token that was shown.
+func (p Principal) WithHash(hash string) Principal {
+	p.hash = hash
+	return p
+}
+
+// Hash returns the SHA-256 of the token that was shown, or "" where none was asked for.
+func (p Principal) Hash() string { return p.hash }
+
 // Name returns the name of the token.
 func (p Principal) Name() string { return p.name }
 
--- /dev/null
+++ b/internal/peer/broperator/error.go
@@ -0,0 +1,120 @@
+package broperator
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/kataras/iris/v12"
+
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/service/bradministration"
+)
+
+// Codes of error replies.
+const (
+	codeRequest      = "bad-request"
+	codeUnidentified = "unidentified"
+	codeDenied       = "denied"
+	codeNotExist     = "does-not-exist"
+	codeConflict     = "conflict"
+	codeReused       = "idempotency-key-reused"
+	codeInvalid      = "invalid"
+	codeTooOften     = "too-often"
+	codeUnavailable  = "unavailable"
+	codeUnknown      = "outcome-unknown"
+	codeInternal     = "internal"
+)
+
+type faultReply struct {
+	Path    string `json:"path"`
+	Message string `json:"message"`
+}
+
+type errorReply struct {
+	Code       string       `json:"code"`
+	Error      string       `json:"error"`
+	Operation  string       `json:"operation,omitempty"`
+	Generation uint64       `json:"generation,omitempty"`
+	Faults     []faultReply `json:"faults,omitempty"`
+	First      *entryReply  `json:"first,omitempty"`
+}
+
+// errOperation is an error with the operation that met it.
+type errOperation struct {
+	operation string
+	cause     error
+}
+
+// Error returns the message of the cause.
+func (e errOperation) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e errOperation) Unwrap() error { return e.cause }
+
+func errOf(operation bradministration.Operation, err error) error {
+	return errOperation{operation: operation.ID(), cause: err}
+}
+
+func fail(ctx iris.Context, err error) {
+	status, reply := replyOf(err)
+	if often, ok := errors.Into[bradministration.ErrTooOften](err); ok {
+		seconds := (often.Wait() + time.Second - 1) / time.Second
+		ctx.Header("Retry-After", strconv.FormatInt(int64(seconds), 10))
+	}
+	ctx.StatusCode(status)
+	_ = ctx.JSON(reply)
+}
+
+func replyOf(err error) (int, errorReply) {
+	status, code := statusOf(err)
+	reply := errorReply{Code: code, Error: err.Error()}
+	if at, ok := errors.Into[errOperation](err); ok {
+		reply.Operation = at.operation
+	}
+	if unknown, ok := errors.Into[bradministration.ErrOutcomeUnknown](err); ok {
+		reply.Generation = unknown.Generation()
+	}
+	if missing, ok := errors.Into[bradministration.ErrOperationNotExist](err); ok {
+		reply.Generation = missing.Generation()
+	}
+	if conflict, ok := errors.Into[bradministration.ErrConflict](err); ok {
+		first := entryReplyOf(conflict.First())
+		reply.First = &first
+	}
+	for _, f := range bradministration.Faults(err) {
+		reply.Faults = append(reply.Faults, faultReply{Path: f.Path(), Message: f.Message()})
+	}
+	return status, reply
+}
+
+func statusOf(err error) (int, string) {
+	if request, ok := errors.Into[ErrRequest](err); ok {
+		return request.status, codeRequest
+	}
+	switch {
+	case bradministration.IsErrUnidentified(err):
+		return http.StatusUnauthorized, codeUnidentified
+	case bradministration.IsErrDenied(err):
+		return http.StatusForbidden, codeDenied
+	case bradministration.IsErrResourceNotExist(err),
+		bradministration.IsErrOperationNotExist(err),
+		bradministration.IsErrGenerationNotExist(err):
+		return http.StatusNotFound, codeNotExist
+	case bradministration.IsErrConflict(err):
+		return http.StatusConflict, codeConflict
+	case bradministration.IsErrOperationReused(err):
+		return http.StatusUnprocessableEntity, codeReused
+	case bradministration.IsErrRefused(err), brconfig.IsErrDangling(err), brconfig.IsErrClaimed(err), brconfig.IsErrKindNotExist(err):
+		return http.StatusUnprocessableEntity, codeInvalid
+	case bradministration.IsErrTooOften(err):
+		return http.StatusTooManyRequests, codeTooOften
+	case bradministration.IsErrOutcomeUnknown(err):
+		return http.StatusGatewayTimeout, codeUnknown
+	case bradministration.IsErrUnavailable(err):
+		return http.StatusServiceUnavailable, codeUnavailable
+	default:
+		return http.StatusInternalServerError, codeInternal
+	}
+}
--- a/internal/peer/broperator/events.go
+++ b/internal/peer/broperator/events.go
@@ -32,19 +32,18 @@
 	Details      map[string]string `json:"details,omitempty"`
 }
 
-func (h *Handler) events(ctx iris.Context) {
+func (h *Handler) events(ctx iris.Context) error {
 	after := uint64(max(ctx.URLParamInt64Default("after", 0), 0))
 	limit := min(ctx.URLParamIntDefault("limit", standardEvents), maxEvents)
 	page, err := h.timeline.Read(ctx.Request().Context(), after, limit)
 	if err != nil {
-		fail(ctx, http.StatusServiceUnavailable, err)
-		return
+		return ErrRequest{status: http.StatusServiceUnavailable, reason: err.Error()}
 	}
 	reply := eventsReply{Events: []eventReply{}, Position: page.Position()}
 	for _, e := range page.Events() {
 		reply.Events = append(reply.Events, eventReplyOf(e))
 	}
-	_ = ctx.JSON(reply)
+	return ctx.JSON(reply)
 }
 
 func eventReplyOf(e brevent.Event) eventReply {
--- a/internal/peer/broperator/handler.go
+++ b/internal/peer/broperator/handler.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	front, err := broperator.NewHandler(administration, timeline, registry, readiness)
+//	front, err := broperator.NewHandler("vm-1", administration, timeline, registry)
 //	server := &http.Server{Handler: front}
 package broperator
 
@@ -16,16 +16,29 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"bergamotroad.example/bergamotroad/internal/codec/brdocument"
 	"bergamotroad.example/bergamotroad/internal/duty/brtimeline"
 	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brprincipal"
+	"bergamotroad.example/bergamotroad/internal/service/bradministration"
 )
 
 // Administration changes and reads the configuration.
 type Administration interface {
-	// Apply makes one change of all the given ones and returns its generation.
-	Apply(ctx context.Context, author string, changes []brconfig.Change) (uint64, error)
+	// Identify returns the operator who shows a token, or "" for none.
+	Identify(ctx context.Context, token string) (brprincipal.Principal, error)
+	// Apply makes one change of an operation, once.
+	Apply(ctx context.Context, operation bradministration.Operation) (bradministration.Outcome, error)
+	// Plan tells what an operation would alter.
+	Plan(ctx context.Context, operation bradministration.Operation) (bradministration.Plan, error)
 	// Snapshot returns the configuration that this VM holds.
 	Snapshot(ctx context.Context) (*brconfig.Snapshot, error)
+	// Past returns the configuration at an old generation.
+	Past(ctx context.Context, generation uint64) (*brconfig.Snapshot, error)
+	// History returns accepted changes before a generation, newest first.
+	History(ctx context.Context, before uint64, limit int) ([]brdocument.Entry, error)
+	// Operation returns the entry of an accepted operation.
+	Operation(ctx context.Context, id string) (brdocument.Entry, error)
 }
 
 // Timeline reads events.
@@ -36,21 +49,23 @@
 
 // Handler is the operators' front end. It is an http.Handler.
 type Handler struct {
+	vm             string
 	administration Administration
 	timeline       Timeline
 	app            *iris.Application
 }
 
-// NewHandler returns the front end.
-func NewHandler(administration Administration, timeline Timeline, metrics prometheus.Gatherer) (*Handler, error) {
-	h := &Handler{administration: administration, timeline: timeline, app: iris.New()}
+// NewHandler returns the front end of a VM.
+func NewHandler(vm string, administration Administration, timeline Timeline, metrics prometheus.Gatherer) (*Handler, error) {
+	h := &Handler{vm: vm, administration: administration, timeline: timeline, app: iris.New()}
 	h.app.Logger().SetLevel("disable")
 	h.app.Get("/healthz", func(ctx iris.Context) { _, _ = ctx.WriteString("ok\n") })
 	h.app.Get("/readyz", h.readiness)
 	h.app.Get("/metrics", iris.FromStd(promhttp.HandlerFor(metrics, promhttp.HandlerOpts{})))
-	h.app.Post("/v1/apply", h.apply)
-	h.app.Get("/v1/resources/{kind}", h.list)
-	h.app.Get("/v1/events", h.events)
+	h.app.Get(openAPIPath, h.openAPI)
+	for _, r := range h.routes() {
+		h.register(r)
+	}
 	if err := h.app.Build(); err != nil {
 		return nil, errors.Errorf("build operators' routes: %w", err)
 	}
@@ -72,12 +87,3 @@
 	}
 	_, _ = ctx.WriteString("ready\n")
 }
-
-type errorReply struct {
-	Error string `json:"error"`
-}
-
-func fail(ctx iris.Context, status int, err error) {
-	ctx.StatusCode(status)
-	_ = ctx.JSON(errorReply{Error: err.Error()})
-}
--- /dev/null
+++ b/internal/peer/broperator/operation.go
@@ -0,0 +1,84 @@
+package broperator
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"regexp"
+	"strconv"
+
+	"github.com/go-faster/errors"
+	"github.com/kataras/iris/v12"
+
+	"bergamotroad.example/bergamotroad/internal/service/bradministration"
+)
+
+// maxBody bounds the body of a request, in bytes.
+const maxBody = 64 << 20
+
+const (
+	headerIdempotencyKey = "Idempotency-Key"
+	headerIfMatch        = "If-Match"
+)
+
+var idempotencyKeyPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9_-]{7,63}$`)
+
+// ErrRequest says what is wrong with a request.
+type ErrRequest struct {
+	status int
+	reason string
+}
+
+// Error returns the reason.
+func (e ErrRequest) Error() string { return e.reason }
+
+func badRequest(reason string) error {
+	return ErrRequest{status: http.StatusBadRequest, reason: reason}
+}
+
+func readBody(ctx iris.Context) ([]byte, error) {
+	data, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, maxBody))
+	if err != nil {
+		if _, isTooLarge := errors.Into[*http.MaxBytesError](err); isTooLarge {
+			return nil, ErrRequest{status: http.StatusRequestEntityTooLarge, reason: "body is above " + strconv.Itoa(maxBody) + " bytes"}
+		}
+		return nil, badRequest("body can't be read: " + err.Error())
+	}
+	return data, nil
+}
+
+// operationOf returns the operation that a request asks for.
+func operationOf(ctx iris.Context, body []byte, edit bradministration.Edit) (bradministration.Operation, error) {
+	operation := bradministration.NewOperation(principalOf(ctx), edit)
+	if key := ctx.GetHeader(headerIdempotencyKey); key != "" {
+		if !idempotencyKeyPattern.MatchString(key) {
+			return operation, badRequest(headerIdempotencyKey + " must be 8 to 64 letters, digits, '-' or '_'")
+		}
+		operation = operation.WithID(key, fingerprint(ctx, body))
+	}
+	expected := ctx.GetHeader(headerIfMatch)
+	if expected == "" {
+		return operation, nil
+	}
+	generation, err := strconv.ParseUint(unquote(expected), 10, 64)
+	if err != nil {
+		return operation, badRequest(headerIfMatch + " must be a generation in double quotes")
+	}
+	return operation.WithExpected(generation), nil
+}
+
+func unquote(tag string) string {
+	if text, err := strconv.Unquote(tag); err == nil {
+		return text
+	}
+	return tag
+}
+
+// fingerprint tells apart requests that share an idempotency key.
+func fingerprint(ctx iris.Context, body []byte) string {
+	hash := sha256.New()
+	_, _ = io.WriteString(hash, ctx.Method()+" "+ctx.Request().URL.RequestURI()+"\n")
+	_, _ = hash.Write(body)
+	return hex.EncodeToString(hash.Sum(nil))
+}
--- a/internal/service/bradministration/apply.go
+++ b/internal/service/bradministration/apply.go
@@ -1,169 +1,172 @@
-// Package bradministration provides what operators do: changes of the
-// configuration and views of it.
-//
-// # Usage
-//
-//	administration := bradministration.New(spreading, table, objects)
-//	generation, err := administration.Apply(ctx, "ana", changes)
 package bradministration
 
 import (
 	"context"
-	"fmt"
-	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
 	"bergamotroad.example/bergamotroad/internal/codec/brdocument"
-	"bergamotroad.example/bergamotroad/internal/duty/brspreading"
+	"bergamotroad.example/bergamotroad/internal/decide/braccess"
+	"bergamotroad.example/bergamotroad/internal/decide/brcheck"
+	"bergamotroad.example/bergamotroad/internal/decide/brselect"
 	"bergamotroad.example/bergamotroad/internal/model/brconfig"
-	"bergamotroad.example/bergamotroad/internal/peer/brobject"
 	"bergamotroad.example/bergamotroad/internal/peer/brtable"
 )
 
-// pollPeriod is how often the newest generation is read from the platform.
-const pollPeriod = time.Second
+// maxAttempts bounds how often a change follows a head that moves meanwhile.
+const maxAttempts = 8
 
-// maxAttempts bounds how often a change is tried again after a race.
-const maxAttempts = 4
-
-// Administration is the operators' service.
-type Administration struct {
-	spreading *brspreading.Spreading
-	table     brtable.Table
-	objects   brobject.Store
+// Apply makes one change of an operation, once. It returns ErrConflict,
+// ErrUnavailable, ErrOutcomeUnknown, ErrOperationReused or why the change is
+// refused; only after ErrOutcomeUnknown may it still take effect.
+func (a *Administration) Apply(ctx context.Context, operation Operation) (Outcome, error) {
+	outcome, err := a.paced(ctx, operation)
+	a.audit(operation, outcome, err)
+	return outcome, err
 }
 
-// New returns the service.
-func New(spreading *brspreading.Spreading, table brtable.Table, objects brobject.Store) *Administration {
-	return &Administration{spreading: spreading, table: table, objects: objects}
+func (a *Administration) paced(ctx context.Context, operation Operation) (Outcome, error) {
+	team := operation.principal.Team()
+	wait, err := a.writing.Take(ctx, team)
+	if err != nil {
+		return Outcome{}, ErrUnavailable{cause: err}
+	}
+	if wait > 0 {
+		return Outcome{}, ErrTooOften{team: team, wait: wait}
+	}
+	return a.apply(ctx, operation)
 }
 
-// ErrConflict says that other operators' changes came first.
-type ErrConflict struct {
-	generation uint64
+func (a *Administration) apply(ctx context.Context, operation Operation) (Outcome, error) {
+	var err error
+	for range maxAttempts {
+		var outcome Outcome
+		outcome, err = a.attempt(ctx, operation)
+		if !isRace(err) {
+			return outcome, err
+		}
+	}
+	raced, _ := errors.Into[errRaced](err)
+	return Outcome{}, raced.conflict
 }
 
-// Error names the generation that came first.
-func (e ErrConflict) Error() string {
-	return fmt.Sprintf("another change came first: generation %d", e.generation)
+// errRaced says that the head moved between reading and writing it.
+type errRaced struct {
+	conflict ErrConflict
 }
 
-// IsErrConflict reports whether err is or wraps ErrConflict.
-func IsErrConflict(err error) bool {
-	_, ok := errors.Into[ErrConflict](err)
-	return ok
-}
+// Error returns the message of the conflict.
+func (e errRaced) Error() string { return e.conflict.Error() }
 
-// Snapshot returns the configuration that this VM holds.
-func (a *Administration) Snapshot(ctx context.Context) (*brconfig.Snapshot, error) {
-	state, err := a.spreading.State(ctx)
-	if err != nil {
-		return nil, errors.Errorf("read configuration: %w", err)
-	}
-	return state.Snapshot(), nil
+func isRace(err error) bool {
+	_, ok := errors.Into[errRaced](err)
+	return ok
 }
 
-// Apply makes one change of all the given ones and returns its generation.
-func (a *Administration) Apply(ctx context.Context, author string, changes []brconfig.Change) (uint64, error) {
-	operation := uuid.NewString()
-	var err error
-	for range maxAttempts {
-		var generation uint64
-		generation, err = a.attempt(ctx, operation, author, changes)
-		if err == nil {
-			return generation, nil
-		}
-		if !IsErrConflict(err) {
-			return 0, err
-		}
-	}
-	return 0, err
+// base is the configuration that an attempt follows.
+type base struct {
+	version  int64
+	head     brdocument.Head
+	snapshot *brconfig.Snapshot
 }
 
-func (a *Administration) attempt(ctx context.Context, operation, author string, changes []brconfig.Change) (uint64, error) {
-	version, head, err := a.readHead(ctx)
-	if err != nil {
-		return 0, err
-	}
-	state, err := a.spreading.State(ctx)
+func (a *Administration) attempt(ctx context.Context, operation Operation) (Outcome, error) {
+	from, err := a.base(ctx)
 	if err != nil {
-		return 0, errors.Errorf("read configuration: %w", err)
+		return Outcome{}, err
 	}
-	if state.Head() != head {
-		return 0, a.behind(ctx, head)
+	// The row is read after the head: where it is missing, a later landing of
+	// the same operation moves the head that this attempt asks for.
+	entry, err := a.readOperation(ctx, operation.id)
+	if err == nil {
+		return repeated(operation, entry)
 	}
-	if _, err := state.Snapshot().Apply(head.Generation()+1, changes); err != nil {
-		return 0, errors.Errorf("check change: %w", err)
+	if !brtable.IsErrRowNotExist(err) {
+		return Outcome{}, ErrUnavailable{cause: err}
 	}
-	data, err := brdocument.EncodeDelta(brdocument.NewDelta(head, operation, author, changes))
+	changes, warnings, err := a.examine(from.snapshot, operation)
 	if err != nil {
-		return 0, errors.Errorf("encode change: %w", err)
+		return Outcome{}, err
 	}
-	next := brdocument.NewHead(head.Generation()+1, operation, data)
-	if err := a.write(ctx, version, next, data); err != nil {
-		return 0, err
+	if err := a.checkExpected(ctx, operation, from.head.Generation(), changes); err != nil {
+		return Outcome{}, err
 	}
-	if _, err := a.spreading.Offer(ctx, [][]byte{data}); err != nil {
-		return 0, errors.Errorf("take change into force: %w", err)
+	entry, err = a.write(ctx, from, operation, changes)
+	if err != nil {
+		return Outcome{}, err
 	}
-	return next.Generation(), nil
+	return Outcome{generation: entry.Generation(), operation: operation.id, warnings: warnings}, nil
 }
 
-// behind waits a little for the poller to bring the head, so that the next attempt follows it.
-func (a *Administration) behind(ctx context.Context, head brdocument.Head) error {
-	const patience = 2 * pollPeriod
-	if _, err := a.spreading.Wait(ctx, head.Generation()-1, patience); err != nil {
-		return errors.Errorf("wait for generation %d: %w", head.Generation(), err)
+func repeated(operation Operation, entry brdocument.Entry) (Outcome, error) {
+	isSame := entry.Fingerprint() == operation.fingerprint &&
+		entry.Author() == operation.principal.Name() &&
+		entry.Team() == operation.principal.Team()
+	if !isSame {
+		return Outcome{}, ErrOperationReused{operation: operation.id}
 	}
-	return ErrConflict{generation: head.Generation()}
+	return Outcome{generation: entry.Generation(), operation: operation.id, repeated: true}, nil
 }
 
-func (a *Administration) readHead(ctx context.Context) (int64, brdocument.Head, error) {
-	row, err := a.table.Read(ctx, brdocument.HeadKey)
-	if brtable.IsErrRowNotExist(err) {
-		return 0, brdocument.Head{}, nil
+// examine returns the changes of an operation and warnings, or why it is refused.
+func (a *Administration) examine(snapshot *brconfig.Snapshot, operation Operation) ([]brconfig.Change, []string, error) {
+	// This VM may have let in an operator whose token was withdrawn since.
+	if !a.policy.Confirms(snapshot, operation.principal) {
+		return nil, nil, ErrUnidentified{}
 	}
+	changes, err := operation.edit(snapshot)
 	if err != nil {
-		return 0, brdocument.Head{}, errors.Errorf("read head: %w", err)
+		return nil, nil, errors.Errorf("make change: %w", err)
+	}
+	if err := braccess.Check(operation.principal, snapshot, changes); err != nil {
+		return nil, nil, errors.Errorf("check rights: %w", err)
+	}
+	if err := brcheck.Changes(changes); err != nil {
+		return nil, nil, errors.Errorf("check resources: %w", err)
 	}
-	head, err := brdocument.DecodeHead(row.Value())
+	next, err := snapshot.Apply(snapshot.Generation()+1, changes)
 	if err != nil {
-		return 0, brdocument.Head{}, errors.Errorf("decode head: %w", err)
+		return nil, nil, errors.Errorf("check change: %w", err)
 	}
-	return row.Version(), head, nil
+	if err := brcheck.Quotas(snapshot, next, changes); err != nil {
+		return nil, nil, errors.Errorf("check limits: %w", err)
+	}
+	if err := brselect.CheckChanged(next, changes); err != nil {
+		return nil, nil, errors.Errorf("check selectors: %w", err)
+	}
+	warnings := []string{}
+	for _, name := range brselect.Unmatched(next, changes) {
+		warnings = append(warnings, "selector "+name+" matches nothing")
+	}
+	return changes, warnings, nil
 }
 
-func (a *Administration) write(ctx context.Context, version int64, next brdocument.Head, data []byte) error {
-	if err := a.objects.Put(ctx, next.DeltaName(), data); err != nil {
-		return errors.Errorf("write delta: %w", err)
+// write puts the delta and commits the transaction of a change.
+func (a *Administration) write(ctx context.Context, from base, operation Operation, changes []brconfig.Change) (brdocument.Entry, error) {
+	// Each attempt writes a delta of its own, so that two attempts of one
+	// operation never write different data under one name.
+	attempt := uuid.NewString()
+	data, err := brdocument.EncodeDelta(brdocument.NewDelta(from.head, attempt, operation.principal.Name(), changes))
+	if err != nil {
+		return brdocument.Entry{}, errors.Errorf("encode change: %w", err)
 	}
-	row, err := brdocument.EncodeHead(next)
+	head := brdocument.NewHead(from.head.Generation()+1, attempt, data)
+	entry := brdocument.NewEntry(head, operation.id, operation.fingerprint, operation.principal.Name(), operation.principal.Team(), a.clock.Now().UTC()).WithChanges(changes)
+	if err := a.objects.Put(ctx, head.DeltaName(), data); err != nil {
+		return brdocument.Entry{}, ErrUnavailable{cause: errors.Errorf("write delta: %w", err)}
+	}
+	transaction, err := a.transaction(ctx, from, entry)
 	if err != nil {
-		return errors.Errorf("encode head: %w", err)
-	}
-	err = a.table.Commit(ctx, brtable.NewTransaction().Require(brdocument.HeadKey, version).Put(brdocument.HeadKey, row))
-	switch {
-	case err == nil:
-		return nil
-	case brtable.IsErrPrecondition(err):
-		return ErrConflict{generation: next.Generation()}
-	case brtable.IsErrOutcomeUnknown(err):
-		return a.settle(ctx, next)
-	default:
-		return errors.Errorf("move head: %w", err)
+		return brdocument.Entry{}, err
 	}
-}
-
-// settle finds out whether a write whose answer was lost has taken effect.
-func (a *Administration) settle(ctx context.Context, next brdocument.Head) error {
-	_, head, err := a.readHead(ctx)
+	accepted, err := a.commit(ctx, transaction, entry)
 	if err != nil {
-		return errors.Errorf("outcome of change %s is unknown: %w", next.Operation(), err)
+		return brdocument.Entry{}, err
 	}
-	if head == next {
-		return nil
+	if accepted.Head() == head {
+		// The poller brings the change where this fails: it is accepted all the same.
+		_, _ = a.spreading.Offer(ctx, [][]byte{data})
 	}
-	return ErrConflict{generation: head.Generation()}
+	return accepted, nil
 }
--- /dev/null
+++ b/internal/service/bradministration/apply_test.go
@@ -0,0 +1,280 @@
+package bradministration_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/core/brduty"
+	"bergamotroad.example/bergamotroad/internal/decide/braccess"
+	"bergamotroad.example/bergamotroad/internal/duty/brspreading"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brevent"
+	"bergamotroad.example/bergamotroad/internal/model/brprincipal"
+	"bergamotroad.example/bergamotroad/internal/peer/brtable"
+	"bergamotroad.example/bergamotroad/internal/service/bradministration"
+	"bergamotroad.example/bergamotroad/internal/standin/brplatform"
+	_ "bergamotroad.example/bergamotroad/internal/standin/brseed"
+)
+
+var start = time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC)
+
+// lateTable is a table whose writes can be lost and land later.
+type lateTable struct {
+	brtable.Table
+	before  func() // runs before each commit, such as another operator's change
+	fault   func() string
+	pending []brtable.Transaction
+	isDown  bool
+}
+
+func (l *lateTable) Read(ctx context.Context, key string) (brtable.Row, error) {
+	if l.isDown {
+		return brtable.Row{}, brtable.NewErrUnavailable(errors.New("down"))
+	}
+	return l.Table.Read(ctx, key)
+}
+
+func (l *lateTable) Commit(ctx context.Context, transaction brtable.Transaction) error {
+	if l.before != nil {
+		l.before()
+	}
+	switch l.fault() {
+	case "down":
+		return brtable.NewErrUnavailable(errors.New("down"))
+	case "answer lost":
+		_ = l.Table.Commit(ctx, transaction)
+		return brtable.NewErrOutcomeUnknown(errors.New("lost"))
+	case "late":
+		l.pending = append(l.pending, transaction)
+		return brtable.NewErrOutcomeUnknown(errors.New("late"))
+	case "land":
+		l.land(ctx)
+	case "cut off":
+		l.pending = append(l.pending, transaction)
+		l.isDown = true
+		return brtable.NewErrOutcomeUnknown(errors.New("cut off"))
+	}
+	if l.isDown {
+		return brtable.NewErrUnavailable(errors.New("down"))
+	}
+	return l.Table.Commit(ctx, transaction)
+}
+
+func (l *lateTable) land(ctx context.Context) {
+	for _, t := range l.pending {
+		_ = l.Table.Commit(ctx, t)
+	}
+	l.pending = nil
+}
+
+type nobody struct{}
+
+func (nobody) DutyStalled(string, int)          {}
+func (nobody) DutyPanicked(string, any, []byte) {}
+func (nobody) Record(brevent.Event)             {}
+
+type anyPace struct{}
+
+func (anyPace) Take(context.Context, string) (time.Duration, error) { return 0, nil }
+
+// fleet is some VMs that share a platform.
+type fleet struct {
+	table *lateTable
+	vms   []*bradministration.Administration
+	stop  func()
+}
+
+func newFleet(ctx context.Context, size int) *fleet {
+	faults := brplatform.NewFaults()
+	objects := brplatform.NewObjects(faults)
+	f := &fleet{table: &lateTable{Table: brplatform.NewTable(faults), fault: func() string { return "" }}}
+	clock := brclock.NewFake(start)
+	group := brduty.NewGroup(ctx, clock, nobody{})
+	for range size {
+		spreading := brspreading.New(clock, nobody{})
+		group.Start(spreading.Duty())
+		f.vms = append(f.vms, bradministration.New(clock, braccess.NewPolicy().WithOpen(true), anyPace{}, spreading, f.table, objects, nobody{}))
+	}
+	f.stop = group.Stop
+	return f
+}
+
+var root = brprincipal.New("operator", "", brconfig.RoleAdministrator)
+
+func organisation(name string) []brconfig.Change {
+	return []brconfig.Change{brconfig.Put(brconfig.NewOrganisation(brconfig.NewMeta(name)))}
+}
+
+// Whatever is lost, late or down and whoever comes between: an accepted change
+// is there once, a refused one is not there, generations have no gap, and an
+// unknown outcome can be told afterwards.
+func TestChangesTakeEffectOnceOrNotAtAll(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ctx := t.Context()
+		f := newFleet(ctx, 2)
+		defer f.stop()
+		accepted := map[string]uint64{}
+		refused := map[string]bool{}
+		unknown := map[string]bradministration.ErrOutcomeUnknown{}
+		count, depth := 0, 0
+		apply := func(id string) {
+			vm := f.vms[rapid.IntRange(0, 1).Draw(t, "vm")]
+			outcome, err := vm.Apply(ctx, bradministration.NewOperation(root, bradministration.Fixed(organisation(id))).WithID(id, "same"))
+			lost, isUnknown := errors.Into[bradministration.ErrOutcomeUnknown](err)
+			switch {
+			case err == nil:
+				generation, had := accepted[id]
+				require.True(t, !had || generation == outcome.Generation(), "%s was accepted twice", id)
+				require.False(t, refused[id])
+				accepted[id] = outcome.Generation()
+			case isUnknown:
+				unknown[id] = lost
+			default:
+				require.True(t, bradministration.IsErrConflict(err) || bradministration.IsErrUnavailable(err), "%v", err)
+				_, had := accepted[id]
+				_, mayBe := unknown[id]
+				refused[id] = !had && !mayBe
+			}
+		}
+		fresh := func() {
+			count++
+			apply(fmt.Sprint("o", count))
+		}
+		f.table.fault = func() string {
+			return rapid.SampledFrom([]string{"", "", "down", "answer lost", "late", "land", "cut off"}).Draw(t, "fault")
+		}
+		f.table.before = func() {
+			if depth < 2 && rapid.IntRange(0, 3).Draw(t, "race") == 0 {
+				depth++
+				fresh()
+				depth--
+			}
+		}
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			switch rapid.SampledFrom([]string{"apply", "apply", "repeat", "land", "heal"}).Draw(t, "step") {
+			case "apply":
+				fresh()
+			case "repeat":
+				for id := range unknown {
+					// Ranging over a map would make the history depend on its order.
+					if len(unknown) == 1 {
+						apply(id)
+					}
+				}
+			case "land":
+				f.table.land(ctx)
+			case "heal":
+				f.table.isDown = false
+			}
+		}
+		f.table.isDown = false
+		f.table.land(ctx)
+		f.table.before = nil
+		f.table.fault = func() string { return "" }
+		apply("last")
+		checkHistory(ctx, t, f, accepted, refused, unknown)
+	})
+}
+
+func checkHistory(ctx context.Context, t *rapid.T, f *fleet, accepted map[string]uint64, refused map[string]bool, unknown map[string]bradministration.ErrOutcomeUnknown) {
+	entries, err := f.vms[0].History(ctx, 0, 1000)
+	require.NoError(t, err)
+	generations := map[string]uint64{}
+	for i, e := range entries {
+		require.Equal(t, uint64(len(entries)-i), e.Generation())
+		require.NotContains(t, generations, e.Operation(), "applied twice")
+		generations[e.Operation()] = e.Generation()
+	}
+	for id, generation := range accepted {
+		require.Equal(t, generation, generations[id], id)
+	}
+	for id, isRefused := range refused {
+		require.False(t, isRefused && generations[id] != 0, "%s was refused and took effect", id)
+	}
+	for id, lost := range unknown {
+		entry, err := f.vms[0].Operation(ctx, id)
+		missing, isMissing := errors.Into[bradministration.ErrOperationNotExist](err)
+		if isMissing {
+			require.GreaterOrEqual(t, missing.Generation(), lost.Generation(), "not final")
+			require.NotContains(t, generations, id)
+			continue
+		}
+		require.NoError(t, err)
+		require.Equal(t, generations[id], entry.Generation())
+	}
+	for _, vm := range f.vms {
+		_, err := vm.Apply(ctx, bradministration.NewOperation(root, bradministration.Fixed(organisation("last"))))
+		require.NoError(t, err)
+		snapshot, err := vm.Snapshot(ctx)
+		require.NoError(t, err)
+		require.Equal(t, len(generations), snapshot.Organisations().Len())
+	}
+}
+
+// The outcome of a write whose answer was lost is told although another
+// operator's change has followed it.
+func TestLostAnswerIsSettledAfterALaterChange(t *testing.T) {
+	f := newFleet(t.Context(), 2)
+	defer f.stop()
+	lose := true
+	f.table.fault = func() string {
+		if !lose {
+			return ""
+		}
+		lose = false
+		return "answer lost"
+	}
+	calls := 0
+	f.table.before = func() {
+		// The second sending comes after the other operator's change.
+		calls++
+		if calls == 2 {
+			_, err := f.vms[1].Apply(t.Context(), bradministration.NewOperation(root, bradministration.Fixed(organisation("other"))))
+			require.NoError(t, err)
+		}
+	}
+	outcome, err := f.vms[0].Apply(t.Context(), bradministration.NewOperation(root, bradministration.Fixed(organisation("own"))))
+	require.NoError(t, err)
+	require.Equal(t, uint64(1), outcome.Generation())
+}
+
+func TestExpectedGenerationConflictsOnlyWhereAResourceChanged(t *testing.T) {
+	f := newFleet(t.Context(), 1)
+	defer f.stop()
+	vm := f.vms[0]
+	apply := func(name string) bradministration.Operation {
+		return bradministration.NewOperation(root, bradministration.Fixed(organisation(name)))
+	}
+	for _, name := range []string{"a", "b"} {
+		_, err := vm.Apply(t.Context(), apply(name))
+		require.NoError(t, err)
+	}
+	_, err := vm.Apply(t.Context(), apply("a").WithExpected(1))
+	require.NoError(t, err)
+	_, err = vm.Apply(t.Context(), apply("a").WithExpected(2))
+	conflict, ok := errors.Into[bradministration.ErrConflict](err)
+	require.True(t, ok, "%v", err)
+	require.Equal(t, uint64(3), conflict.First().Generation())
+	require.Equal(t, "operator", conflict.First().Author())
+}
+
+func TestIdentifierStandsForOneRequest(t *testing.T) {
+	f := newFleet(t.Context(), 1)
+	defer f.stop()
+	operation := bradministration.NewOperation(root, bradministration.Fixed(organisation("a"))).WithID("k", "one")
+	first, err := f.vms[0].Apply(t.Context(), operation)
+	require.NoError(t, err)
+	again, err := f.vms[0].Apply(t.Context(), operation)
+	require.NoError(t, err)
+	require.True(t, again.Repeated())
+	require.Equal(t, first.Generation(), again.Generation())
+	_, err = f.vms[0].Apply(t.Context(), operation.WithID("k", "another"))
+	require.True(t, bradministration.IsErrOperationReused(err))
+}
--- /dev/null
+++ b/internal/service/bradministration/base.go
@@ -0,0 +1,81 @@
+package bradministration
+
+import (
+	"context"
+	"slices"
+
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/codec/brdocument"
+	"bergamotroad.example/bergamotroad/internal/peer/brtable"
+)
+
+// base reads the newest head and brings the VM's configuration up to it.
+func (a *Administration) base(ctx context.Context) (base, error) {
+	version, head, err := a.readHead(ctx)
+	if err != nil {
+		return base{}, ErrUnavailable{cause: err}
+	}
+	state, err := a.spreading.State(ctx)
+	if err != nil {
+		return base{}, ErrUnavailable{cause: errors.Errorf("read configuration: %w", err)}
+	}
+	if state.Head().Generation() < head.Generation() {
+		deltas, err := a.chain(ctx, state.Head(), head)
+		if err != nil {
+			return base{}, ErrUnavailable{cause: errors.Errorf("read deltas up to generation %d: %w", head.Generation(), err)}
+		}
+		if state, err = a.spreading.Offer(ctx, deltas); err != nil {
+			return base{}, ErrUnavailable{cause: errors.Errorf("take newest configuration: %w", err)}
+		}
+	}
+	if state.Head() != head {
+		return base{}, ErrUnavailable{cause: errors.Errorf("VM holds generation %d, head is %d", state.Head().Generation(), head.Generation())}
+	}
+	return base{version: version, head: head, snapshot: state.Snapshot()}, nil
+}
+
+func (a *Administration) readHead(ctx context.Context) (int64, brdocument.Head, error) {
+	row, err := a.table.Read(ctx, brdocument.HeadKey)
+	if brtable.IsErrRowNotExist(err) {
+		return 0, brdocument.Head{}, nil
+	}
+	if err != nil {
+		return 0, brdocument.Head{}, errors.Errorf("read head: %w", err)
+	}
+	head, err := brdocument.DecodeHead(row.Value())
+	if err != nil {
+		return 0, brdocument.Head{}, errors.Errorf("decode head: %w", err)
+	}
+	return row.Version(), head, nil
+}
+
+// chain returns the deltas after own up to head, oldest first.
+func (a *Administration) chain(ctx context.Context, own, head brdocument.Head) ([][]byte, error) {
+	deltas := [][]byte{}
+	for head.Generation() > own.Generation() {
+		data, delta, err := a.readDelta(ctx, head)
+		if err != nil {
+			return nil, err
+		}
+		deltas = append(deltas, data)
+		head = delta.Previous()
+	}
+	slices.Reverse(deltas)
+	return deltas, nil
+}
+
+func (a *Administration) readDelta(ctx context.Context, head brdocument.Head) ([]byte, brdocument.Delta, error) {
+	data, err := a.objects.Get(ctx, head.DeltaName())
+	if err != nil {
+		return nil, brdocument.Delta{}, errors.Errorf("read delta: %w", err)
+	}
+	if brdocument.Digest(data) != head.Digest() {
+		return nil, brdocument.Delta{}, errors.Errorf("delta %d has another digest than its head says", head.Generation())
+	}
+	delta, err := brdocument.DecodeDelta(data)
+	if err != nil {
+		return nil, brdocument.Delta{}, errors.Errorf("decode delta: %w", err)
+	}
+	return data, delta, nil
+}
--- /dev/null
+++ b/internal/service/bradministration/commit.go
@@ -0,0 +1,102 @@
+package bradministration
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/codec/brdocument"
+	"bergamotroad.example/bergamotroad/internal/peer/brtable"
+)
+
+const (
+	// maxCommits bounds how often one transaction is sent.
+	maxCommits = 4
+	// retainedGenerations is how many generations the journal and the
+	// operations' rows reach back.
+	retainedGenerations = 100_000
+)
+
+// transaction returns the writes of a change, each of which happens or none.
+func (a *Administration) transaction(ctx context.Context, from base, entry brdocument.Entry) (brtable.Transaction, error) {
+	head, err := brdocument.EncodeHead(entry.Head())
+	if err != nil {
+		return brtable.Transaction{}, errors.Errorf("encode head: %w", err)
+	}
+	row, err := brdocument.EncodeEntry(entry)
+	if err != nil {
+		return brtable.Transaction{}, errors.Errorf("encode entry: %w", err)
+	}
+	operationKey := brdocument.OperationKey(entry.Operation())
+	transaction := brtable.NewTransaction().
+		Require(brdocument.HeadKey, from.version).
+		Require(operationKey, 0).
+		Put(brdocument.HeadKey, head).
+		Put(operationKey, row).
+		Put(brdocument.EntryKey(entry.Generation()), row)
+	return a.expire(ctx, transaction, entry.Generation())
+}
+
+// expire adds the deletion of the rows of the generation that leaves the journal.
+func (a *Administration) expire(ctx context.Context, transaction brtable.Transaction, generation uint64) (brtable.Transaction, error) {
+	if generation <= retainedGenerations {
+		return transaction, nil
+	}
+	old, err := a.Entry(ctx, generation-retainedGenerations)
+	if IsErrGenerationNotExist(err) {
+		return transaction, nil
+	}
+	if err != nil {
+		return brtable.Transaction{}, err
+	}
+	return transaction.
+		Delete(brdocument.OperationKey(old.Operation())).
+		Delete(brdocument.EntryKey(old.Generation())), nil
+}
+
+// commit sends a transaction until its outcome is known. Repeating it is safe:
+// it asks for the version of the head that it replaces, so that it takes effect
+// once at most, however late an earlier sending lands.
+func (a *Administration) commit(ctx context.Context, transaction brtable.Transaction, entry brdocument.Entry) (brdocument.Entry, error) {
+	var lost error
+	for range maxCommits {
+		err := a.table.Commit(ctx, transaction)
+		switch {
+		case err == nil:
+			return entry, nil
+		case brtable.IsErrPrecondition(err):
+			return a.settle(ctx, entry)
+		case brtable.IsErrOutcomeUnknown(err):
+			lost = err
+		case lost == nil:
+			return brdocument.Entry{}, ErrUnavailable{cause: errors.Errorf("move head: %w", err)}
+		}
+	}
+	return brdocument.Entry{}, ErrOutcomeUnknown{operation: entry.Operation(), generation: entry.Generation(), cause: lost}
+}
+
+// settle tells why a precondition did not hold: the operation took effect
+// before, or another change moved the head. In both cases the transaction can't
+// take effect any more, so that a row that is missing now stays missing.
+func (a *Administration) settle(ctx context.Context, entry brdocument.Entry) (brdocument.Entry, error) {
+	accepted, err := a.readOperation(ctx, entry.Operation())
+	if err == nil {
+		return a.settled(entry, accepted)
+	}
+	if !brtable.IsErrRowNotExist(err) {
+		return brdocument.Entry{}, ErrOutcomeUnknown{operation: entry.Operation(), generation: entry.Generation(), cause: err}
+	}
+	// The entry is for the message only.
+	first, _ := a.Entry(ctx, entry.Generation())
+	return brdocument.Entry{}, errRaced{conflict: ErrConflict{first: first}}
+}
+
+func (*Administration) settled(entry, accepted brdocument.Entry) (brdocument.Entry, error) {
+	isSame := accepted.Fingerprint() == entry.Fingerprint() &&
+		accepted.Author() == entry.Author() &&
+		accepted.Team() == entry.Team()
+	if !isSame {
+		return brdocument.Entry{}, ErrOperationReused{operation: entry.Operation()}
+	}
+	return accepted, nil
+}
--- /dev/null
+++ b/internal/service/bradministration/journal.go
@@ -0,0 +1,134 @@
+package bradministration
+
+import (
+	"context"
+	"slices"
+
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/codec/brdocument"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/peer/brtable"
+)
+
+// maxExpectedAge bounds how many generations an expected one may lie back.
+const maxExpectedAge = 10 * brdocument.JournalPage
+
+// Operation returns the entry of an accepted operation. It returns
+// ErrOperationNotExist, whose generation tells how far that is final.
+func (a *Administration) Operation(ctx context.Context, id string) (brdocument.Entry, error) {
+	// The head is read before the row: an operation that would have made a
+	// generation up to it and has no row now never gets one.
+	_, head, err := a.readHead(ctx)
+	if err != nil {
+		return brdocument.Entry{}, ErrUnavailable{cause: err}
+	}
+	entry, err := a.readOperation(ctx, id)
+	if brtable.IsErrRowNotExist(err) {
+		return brdocument.Entry{}, ErrOperationNotExist{operation: id, generation: head.Generation()}
+	}
+	if err != nil {
+		return brdocument.Entry{}, ErrUnavailable{cause: err}
+	}
+	return entry, nil
+}
+
+func (a *Administration) readOperation(ctx context.Context, id string) (brdocument.Entry, error) {
+	return a.readEntry(ctx, brdocument.OperationKey(id))
+}
+
+// Entry returns the journal's entry of a generation, or ErrGenerationNotExist.
+func (a *Administration) Entry(ctx context.Context, generation uint64) (brdocument.Entry, error) {
+	entry, err := a.readEntry(ctx, brdocument.EntryKey(generation))
+	if brtable.IsErrRowNotExist(err) {
+		return brdocument.Entry{}, ErrGenerationNotExist{generation: generation}
+	}
+	if err != nil {
+		return brdocument.Entry{}, ErrUnavailable{cause: err}
+	}
+	return entry, nil
+}
+
+func (a *Administration) readEntry(ctx context.Context, key string) (brdocument.Entry, error) {
+	row, err := a.table.Read(ctx, key)
+	if err != nil {
+		return brdocument.Entry{}, errors.Errorf("read entry: %w", err)
+	}
+	entry, err := brdocument.DecodeEntry(row.Value())
+	if err != nil {
+		return brdocument.Entry{}, errors.Errorf("decode entry %q: %w", key, err)
+	}
+	return entry, nil
+}
+
+// History returns up to limit entries before a generation, newest first; 0
+// stands for after the newest.
+func (a *Administration) History(ctx context.Context, before uint64, limit int) ([]brdocument.Entry, error) {
+	if before == 0 {
+		_, head, err := a.readHead(ctx)
+		if err != nil {
+			return nil, ErrUnavailable{cause: err}
+		}
+		before = head.Generation() + 1
+	}
+	entries := []brdocument.Entry{}
+	for before > 1 && len(entries) < limit {
+		page, err := a.page(ctx, before-1)
+		if err != nil {
+			return nil, err
+		}
+		if len(page) == 0 {
+			break
+		}
+		entries = append(entries, page...)
+		before = page[len(page)-1].Generation()
+	}
+	return entries[:min(limit, len(entries))], nil
+}
+
+// page returns the entries that share a page with a generation, up to it, newest first.
+func (a *Administration) page(ctx context.Context, last uint64) ([]brdocument.Entry, error) {
+	rows, err := a.table.Scan(ctx, brdocument.EntryPrefix(last))
+	if err != nil {
+		return nil, ErrUnavailable{cause: errors.Errorf("read journal: %w", err)}
+	}
+	entries := []brdocument.Entry{}
+	for _, row := range slices.Backward(rows) {
+		entry, err := brdocument.DecodeEntry(row.Value())
+		if err != nil {
+			return nil, errors.Errorf("decode entry %q: %w", row.Key(), err)
+		}
+		if entry.Generation() <= last {
+			entries = append(entries, entry)
+		}
+	}
+	return entries, nil
+}
+
+// checkExpected returns ErrConflict where one of the resources was changed
+// after the generation that the operator had seen.
+func (a *Administration) checkExpected(ctx context.Context, operation Operation, current uint64, changes []brconfig.Change) error {
+	expected, isGiven := operation.expected.Get()
+	if !isGiven || expected == current {
+		return nil
+	}
+	if expected > current || current-expected > maxExpectedAge {
+		newest, err := a.Entry(ctx, current)
+		if err != nil && !IsErrGenerationNotExist(err) {
+			return err
+		}
+		return ErrConflict{first: newest}
+	}
+	entries, err := a.History(ctx, current+1, int(current-expected))
+	if err != nil {
+		return err
+	}
+	for _, e := range entries {
+		for _, c := range changes {
+			if e.Generation() > expected && e.Touches(c.Reference()) {
+				return ErrConflict{first: e}
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/service/bradministration/past.go
@@ -0,0 +1,76 @@
+package bradministration
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/codec/brdocument"
+	"bergamotroad.example/bergamotroad/internal/core/broption"
+	"bergamotroad.example/bergamotroad/internal/core/brset"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+)
+
+// maxRebuild bounds the deltas from which an old generation is rebuilt.
+const maxRebuild = 10_000
+
+// Past returns the configuration at an old generation, rebuilt from its deltas.
+// It returns ErrGenerationNotExist or ErrUnavailable.
+func (a *Administration) Past(ctx context.Context, generation uint64) (*brconfig.Snapshot, error) {
+	if generation > maxRebuild {
+		return nil, ErrGenerationNotExist{generation: generation}
+	}
+	entry, err := a.Entry(ctx, generation)
+	if err != nil {
+		return nil, err
+	}
+	deltas, err := a.chain(ctx, brdocument.Head{}, entry.Head())
+	if err != nil {
+		return nil, ErrUnavailable{cause: err}
+	}
+	snapshot := brconfig.NewSnapshot()
+	for _, data := range deltas {
+		delta, err := brdocument.DecodeDelta(data)
+		if err != nil {
+			return nil, errors.Errorf("rebuild generation %d: %w", generation, err)
+		}
+		if snapshot, err = snapshot.Apply(delta.Generation(), delta.Changes()); err != nil {
+			return nil, errors.Errorf("rebuild generation %d: %w", generation, err)
+		}
+	}
+	return snapshot, nil
+}
+
+// notRestored are the kinds that stay as they are: a key or token that was
+// withdrawn since must not come back, and a move that has ended must not run again.
+var notRestored = brset.New(brconfig.KindToken, brconfig.KindKey, brconfig.KindMove)
+
+// Restoring returns the edit that makes the configuration what it was, but for
+// keys, tokens and moves.
+func Restoring(past *brconfig.Snapshot) Edit {
+	return func(snapshot *brconfig.Snapshot) ([]brconfig.Change, error) {
+		changes := []brconfig.Change{}
+		for _, kind := range brconfig.Kinds() {
+			if notRestored.Has(kind) {
+				continue
+			}
+			for resource := range snapshot.All(kind) {
+				reference := brconfig.NewReference(kind, resource.Name())
+				if !past.Get(reference).IsPresent() {
+					changes = append(changes, brconfig.Delete(reference))
+				}
+			}
+			for resource := range past.All(kind) {
+				reference := brconfig.NewReference(kind, resource.Name())
+				isSame, err := same(snapshot.Get(reference), broption.Some(resource))
+				if err != nil {
+					return nil, err
+				}
+				if !isSame {
+					changes = append(changes, brconfig.Put(resource))
+				}
+			}
+		}
+		return changes, nil
+	}
+}
--- a/internal/service/brnode/node.go
+++ b/internal/service/brnode/node.go
@@ -25,6 +25,7 @@
 	"bergamotroad.example/bergamotroad/internal/duty/brspreading"
 	"bergamotroad.example/bergamotroad/internal/duty/brsteering"
 	"bergamotroad.example/bergamotroad/internal/duty/brtimeline"
+	"bergamotroad.example/bergamotroad/internal/duty/brwriting"
 	"bergamotroad.example/bergamotroad/internal/model/brevent"
 	"bergamotroad.example/bergamotroad/internal/peer/brbackend"
 	"bergamotroad.example/bergamotroad/internal/peer/brcaller"
@@ -54,6 +55,7 @@
 	steering  *brsteering.Steering
 	spreading *brspreading.Spreading
 	polling   *brpolling.Polling
+	writing   *brwriting.Writing
 	fronts    []front
 }
 
@@ -74,6 +76,8 @@
 	n.spreading.Subscribe(n.admission.Snapshots())
 	n.spreading.Subscribe(n.balancing.Snapshots())
 	n.spreading.Subscribe(n.steering.Snapshots())
+	n.writing = brwriting.New(clock)
+	n.spreading.Subscribe(n.writing.Snapshots())
 	if err := n.addFronts(); err != nil {
 		n.closeFronts()
 		return nil, err
@@ -108,6 +112,7 @@
 		n.steering.Duty(),
 		n.spreading.Duty(),
 		n.polling.Duty(),
+		n.writing.Duty(),
 	}
 }
 
@@ -123,8 +128,8 @@
 	if err != nil {
 		return errors.Errorf("make callers' front: %w", err)
 	}
-	administration := bradministration.New(n.spreading, table, objects)
-	operators, err := broperator.NewHandler(administration, n.timeline, n.metrics())
+	administration := bradministration.New(n.clock, accessPolicy(n.settings.Administration()), n.writing, n.spreading, table, objects, n.timeline)
+	operators, err := broperator.NewHandler(n.settings.VM(), administration, n.timeline, n.metrics())
 	if err != nil {
 		return errors.Errorf("make operators' front: %w", err)
 	}
--- a/internal/service/brsettings/load.go
+++ b/internal/service/brsettings/load.go
@@ -26,6 +26,8 @@
 	Operators frontDocument    `json:"operators"`
 	Platform  platformDocument `json:"platform"`
 	LogLevel  string           `json:"logLevel"`
+
+	Administration administrationDocument `json:"administration"`
 }
 
 type frontDocument struct {
@@ -94,6 +96,8 @@
 			timeout: c.timeout("platform.timeout", d.Platform.Timeout),
 		},
 		logLevel: c.logLevel("logLevel", d.LogLevel),
+
+		administration: c.administration(d.Administration),
 	}
 }
 
--- a/internal/service/brsettings/settings.go
+++ b/internal/service/brsettings/settings.go
@@ -20,6 +20,8 @@
 	operators Front
 	platform  Platform
 	logLevel  string
+
+	administration Administration
 }
 
 // VM returns the name of the VM.
