--- a/internal/model/brprincipal/principal.go
+++ b/internal/model/brprincipal/principal.go
@@ -42,5 +42,10 @@
 // Role returns the role in the team.
 func (p Principal) Role() brconfig.Role { return p.role }
 
+// CanOperate reports whether the operator may act on what all teams share.
+func (p Principal) CanOperate() bool {
+	return p.IsPlatform() && (p.role == brconfig.RoleEditor || p.role == brconfig.RoleAdministrator)
+}
+
 // IsPlatform reports whether the operator is of the platform's team.
 func (p Principal) IsPlatform() bool { return p.team == "" }
--- a/internal/peer/brentrypb/spread.twirp.go
+++ b/internal/peer/brentrypb/spread.twirp.go
@@ -18,11 +18,6 @@
 import twirp "github.com/twitchtv/twirp"
 import ctxsetters "github.com/twitchtv/twirp/ctxsetters"
 
-import bytes "bytes"
-import errors "errors"
-import path "path"
-import url "net/url"
-
 // Version compatibility assertion.
 // If the constant is not defined in the package, that likely means
 // the package needs to be updated to work with this generated code.
@@ -41,6 +36,9 @@
 
 	// Fetch returns the deltas after a generation.
 	Fetch(context.Context, *FetchRequest) (*FetchReply, error)
+
+	// FetchPiece returns a part of a snapshot.
+	FetchPiece(context.Context, *FetchPieceRequest) (*FetchPieceReply, error)
 }
 
 // ======================
@@ -49,7 +47,7 @@
 
 type spreadProtobufClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [3]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -77,9 +75,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "bergamotroad", "Spread")
-	urls := [2]string{
+	urls := [3]string{
 		serviceURL + "Wait",
 		serviceURL + "Fetch",
+		serviceURL + "FetchPiece",
 	}
 
 	return &spreadProtobufClient{
@@ -182,13 +181,59 @@
 	return out, nil
 }
 
+func (c *spreadProtobufClient) FetchPiece(ctx context.Context, in *FetchPieceRequest) (*FetchPieceReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "bergamotroad")
+	ctx = ctxsetters.WithServiceName(ctx, "Spread")
+	ctx = ctxsetters.WithMethodName(ctx, "FetchPiece")
+	caller := c.callFetchPiece
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *FetchPieceRequest) (*FetchPieceReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*FetchPieceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*FetchPieceRequest) when calling interceptor")
+					}
+					return c.callFetchPiece(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*FetchPieceReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*FetchPieceReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *spreadProtobufClient) callFetchPiece(ctx context.Context, in *FetchPieceRequest) (*FetchPieceReply, error) {
+	out := new(FetchPieceReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ==================
 // Spread JSON Client
 // ==================
 
 type spreadJSONClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [3]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -216,9 +261,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "bergamotroad", "Spread")
-	urls := [2]string{
+	urls := [3]string{
 		serviceURL + "Wait",
 		serviceURL + "Fetch",
+		serviceURL + "FetchPiece",
 	}
 
 	return &spreadJSONClient{
@@ -321,6 +367,52 @@
 	return out, nil
 }
 
+func (c *spreadJSONClient) FetchPiece(ctx context.Context, in *FetchPieceRequest) (*FetchPieceReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "bergamotroad")
+	ctx = ctxsetters.WithServiceName(ctx, "Spread")
+	ctx = ctxsetters.WithMethodName(ctx, "FetchPiece")
+	caller := c.callFetchPiece
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *FetchPieceRequest) (*FetchPieceReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*FetchPieceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*FetchPieceRequest) when calling interceptor")
+					}
+					return c.callFetchPiece(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*FetchPieceReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*FetchPieceReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *spreadJSONClient) callFetchPiece(ctx context.Context, in *FetchPieceRequest) (*FetchPieceReply, error) {
+	out := new(FetchPieceReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // =====================
 // Spread Server Handler
 // =====================
@@ -424,6 +516,9 @@
 	case "Fetch":
 		s.serveFetch(ctx, resp, req)
 		return
+	case "FetchPiece":
+		s.serveFetchPiece(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -791,604 +886,232 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *spreadServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor0, 0
-}
-
-func (s *spreadServer) ProtocGenTwirpVersion() string {
-	return "v8.1.3"
-}
-
-// PathPrefix returns the base service path, in the form: "/<prefix>/<package>.<Service>/"
-// that is everything in a Twirp route except for the <Method>. This can be used for routing,
-// for example to identify the requests that are targeted to this service in a mux.
-func (s *spreadServer) PathPrefix() string {
-	return baseServicePath(s.pathPrefix, "bergamotroad", "Spread")
-}
-
-// =====
-// Utils
-// =====
-
-// HTTPClient is the interface used by generated clients to send HTTP requests.
-// It is fulfilled by *(net/http).Client, which is sufficient for most users.
-// Users can provide their own implementation for special retry policies.
-//
-// HTTPClient implementations should not follow redirects. Redirects are
-// automatically disabled if *(net/http).Client is passed to client
-// constructors. See the withoutRedirects function in this file for more
-// details.
-type HTTPClient interface {
-	Do(req *http.Request) (*http.Response, error)
-}
-
-// TwirpServer is the interface generated server structs will support: they're
-// HTTP handlers with additional methods for accessing metadata about the
-// service. Those accessors are a low-level API for building reflection tools.
-// Most people can think of TwirpServers as just http.Handlers.
-type TwirpServer interface {
-	http.Handler
-
-	// ServiceDescriptor returns gzipped bytes describing the .proto file that
-	// this service was generated from. Once unzipped, the bytes can be
-	// unmarshalled as a
-	// google.golang.org/protobuf/types/descriptorpb.FileDescriptorProto.
-	//
-	// The returned integer is the index of this particular service within that
-	// FileDescriptorProto's 'Service' slice of ServiceDescriptorProtos. This is a
-	// low-level field, expected to be used for reflection.
-	ServiceDescriptor() ([]byte, int)
-
-	// ProtocGenTwirpVersion is the semantic version string of the version of
-	// twirp used to generate this file.
-	ProtocGenTwirpVersion() string
-
-	// PathPrefix returns the HTTP URL path prefix for all methods handled by this
-	// service. This can be used with an HTTP mux to route Twirp requests.
-	// The path prefix is in the form: "/<prefix>/<package>.<Service>/"
-	// that is, everything in a Twirp route except for the <Method> at the end.
-	PathPrefix() string
-}
-
-func newServerOpts(opts []interface{}) *twirp.ServerOptions {
-	serverOpts := &twirp.ServerOptions{}
-	for _, opt := range opts {
-		switch o := opt.(type) {
-		case twirp.ServerOption:
-			o(serverOpts)
-		case *twirp.ServerHooks: // backwards compatibility, allow to specify hooks as an argument
-			twirp.WithServerHooks(o)(serverOpts)
-		case nil: // backwards compatibility, allow nil value for the argument
-			continue
-		default:
-			panic(fmt.Sprintf("Invalid option type %T, please use a twirp.ServerOption", o))
-		}
-	}
-	return serverOpts
-}
-
-// WriteError writes an HTTP response with a valid Twirp error format (code, msg, meta).
-// Useful outside of the Twirp server (e.g. http middleware), but does not trigger hooks.
-// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
-func WriteError(resp http.ResponseWriter, err error) {
-	writeError(context.Background(), resp, err, nil)
-}
-
-// writeError writes Twirp errors in the response and triggers hooks.
-func writeError(ctx context.Context, resp http.ResponseWriter, err error, hooks *twirp.ServerHooks) {
-	// Convert to a twirp.Error. Non-twirp errors are converted to internal errors.
-	var twerr twirp.Error
-	if !errors.As(err, &twerr) {
-		twerr = twirp.InternalErrorWith(err)
-	}
-
-	statusCode := twirp.ServerHTTPStatusFromErrorCode(twerr.Code())
-	ctx = ctxsetters.WithStatusCode(ctx, statusCode)
-	ctx = callError(ctx, hooks, twerr)
-
-	respBody := marshalErrorToJSON(twerr)
-
-	resp.Header().Set("Content-Type", "application/json") // Error responses are always JSON
-	resp.Header().Set("Content-Length", strconv.Itoa(len(respBody)))
-	resp.WriteHeader(statusCode) // set HTTP status code and send response
-
-	_, writeErr := resp.Write(respBody)
-	if writeErr != nil {
-		// We have three options here. We could log the error, call the Error
-		// hook, or just silently ignore the error.
-		//
-		// Logging is unacceptable because we don't have a user-controlled
-		// logger; writing out to stderr without permission is too rude.
-		//
-		// Calling the Error hook would confuse users: it would mean the Error
-		// hook got called twice for one request, which is likely to lead to
-		// duplicated log messages and metrics, no matter how well we document
-		// the behavior.
-		//
-		// Silently ignoring the error is our least-bad option. It's highly
-		// likely that the connection is broken and the original 'err' says
-		// so anyway.
-		_ = writeErr
-	}
-
-	callResponseSent(ctx, hooks)
-}
-
-// sanitizeBaseURL parses the the baseURL, and adds the "http" scheme if needed.
-// If the URL is unparsable, the baseURL is returned unchanged.
-func sanitizeBaseURL(baseURL string) string {
-	u, err := url.Parse(baseURL)
-	if err != nil {
-		return baseURL // invalid URL will fail later when making requests
-	}
-	if u.Scheme == "" {
-		u.Scheme = "http"
-	}
-	return u.String()
-}
-
-// baseServicePath composes the path prefix for the service (without <Method>).
-// e.g.: baseServicePath("/twirp", "my.pkg", "MyService")
-//
-//	returns => "/twirp/my.pkg.MyService/"
-//
-// e.g.: baseServicePath("", "", "MyService")
-//
-//	returns => "/MyService/"
-func baseServicePath(prefix, pkg, service string) string {
-	fullServiceName := service
-	if pkg != "" {
-		fullServiceName = pkg + "." + service
-	}
-	return path.Join("/", prefix, fullServiceName) + "/"
-}
-
-// parseTwirpPath extracts path components form a valid Twirp route.
-// Expected format: "[<prefix>]/<package>.<Service>/<Method>"
-// e.g.: prefix, pkgService, method := parseTwirpPath("/twirp/pkg.Svc/MakeHat")
-func parseTwirpPath(path string) (string, string, string) {
-	parts := strings.Split(path, "/")
-	if len(parts) < 2 {
-		return "", "", ""
-	}
-	method := parts[len(parts)-1]
-	pkgService := parts[len(parts)-2]
-	prefix := strings.Join(parts[0:len(parts)-2], "/")
-	return prefix, pkgService, method
-}
-
-// getCustomHTTPReqHeaders retrieves a copy of any headers that are set in
-// a context through the twirp.WithHTTPRequestHeaders function.
-// If there are no headers set, or if they have the wrong type, nil is returned.
-func getCustomHTTPReqHeaders(ctx context.Context) http.Header {
-	header, ok := twirp.HTTPRequestHeaders(ctx)
-	if !ok || header == nil {
-		return nil
-	}
-	copied := make(http.Header)
-	for k, vv := range header {
-		if vv == nil {
-			copied[k] = nil
-			continue
-		}
-		copied[k] = make([]string, len(vv))
-		copy(copied[k], vv)
-	}
-	return copied
-}
-
-// newRequest makes an http.Request from a client, adding common headers.
-func newRequest(ctx context.Context, url string, reqBody io.Reader, contentType string) (*http.Request, error) {
-	req, err := http.NewRequest("POST", url, reqBody)
-	if err != nil {
-		return nil, err
-	}
-	req = req.WithContext(ctx)
-	if customHeader := getCustomHTTPReqHeaders(ctx); customHeader != nil {
-		req.Header = customHeader
-	}
-	req.Header.Set("Accept", contentType)
-	req.Header.Set("Content-Type", contentType)
-	req.Header.Set("Twirp-Version", "v8.1.3")
-	return req, nil
-}
-
-// JSON serialization for errors
-type twerrJSON struct {
-	Code string            `json:"code"`
-	Msg  string            `json:"msg"`
-	Meta map[string]string `json:"meta,omitempty"`
-}
-
-// marshalErrorToJSON returns JSON from a twirp.Error, that can be used as HTTP error response body.
-// If serialization fails, it will use a descriptive Internal error instead.
-func marshalErrorToJSON(twerr twirp.Error) []byte {
-	// make sure that msg is not too large
-	msg := twerr.Msg()
-	if len(msg) > 1e6 {
-		msg = msg[:1e6]
-	}
-
-	tj := twerrJSON{
-		Code: string(twerr.Code()),
-		Msg:  msg,
-		Meta: twerr.MetaMap(),
+func (s *spreadServer) serveFetchPiece(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
 	}
-
-	buf, err := json.Marshal(&tj)
-	if err != nil {
-		buf = []byte("{\"type\": \"" + twirp.Internal + "\", \"msg\": \"There was an error but it could not be serialized into JSON\"}") // fallback
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveFetchPieceJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveFetchPieceProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
 	}
-
-	return buf
 }
 
-// errorFromResponse builds a twirp.Error from a non-200 HTTP response.
-// If the response has a valid serialized Twirp error, then it's returned.
-// If not, the response status code is used to generate a similar twirp
-// error. See twirpErrorFromIntermediary for more info on intermediary errors.
-func errorFromResponse(resp *http.Response) twirp.Error {
-	statusCode := resp.StatusCode
-	statusText := http.StatusText(statusCode)
-
-	if isHTTPRedirect(statusCode) {
-		// Unexpected redirect: it must be an error from an intermediary.
-		// Twirp clients don't follow redirects automatically, Twirp only handles
-		// POST requests, redirects should only happen on GET and HEAD requests.
-		location := resp.Header.Get("Location")
-		msg := fmt.Sprintf("unexpected HTTP status code %d %q received, Location=%q", statusCode, statusText, location)
-		return twirpErrorFromIntermediary(statusCode, msg, location)
-	}
-
-	respBodyBytes, err := io.ReadAll(resp.Body)
+func (s *spreadServer) serveFetchPieceJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "FetchPiece")
+	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
-		return wrapInternal(err, "failed to read server error response body")
-	}
-
-	var tj twerrJSON
-	dec := json.NewDecoder(bytes.NewReader(respBodyBytes))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&tj); err != nil || tj.Code == "" {
-		// Invalid JSON response; it must be an error from an intermediary.
-		msg := fmt.Sprintf("Error from intermediary with HTTP status code %d %q", statusCode, statusText)
-		return twirpErrorFromIntermediary(statusCode, msg, string(respBodyBytes))
-	}
-
-	errorCode := twirp.ErrorCode(tj.Code)
-	if !twirp.IsValidErrorCode(errorCode) {
-		msg := "invalid type returned from server error response: " + tj.Code
-		return twirp.InternalError(msg).WithMeta("body", string(respBodyBytes))
-	}
-
-	twerr := twirp.NewError(errorCode, tj.Msg)
-	for k, v := range tj.Meta {
-		twerr = twerr.WithMeta(k, v)
+		s.writeError(ctx, resp, err)
+		return
 	}
-	return twerr
-}
 
-// twirpErrorFromIntermediary maps HTTP errors from non-twirp sources to twirp errors.
-// The mapping is similar to gRPC: https://github.com/grpc/grpc/blob/master/doc/http-grpc-status-mapping.md.
-// Returned twirp Errors have some additional metadata for inspection.
-func twirpErrorFromIntermediary(status int, msg string, bodyOrLocation string) twirp.Error {
-	var code twirp.ErrorCode
-	if isHTTPRedirect(status) { // 3xx
-		code = twirp.Internal
-	} else {
-		switch status {
-		case 400: // Bad Request
-			code = twirp.Internal
-		case 401: // Unauthorized
-			code = twirp.Unauthenticated
-		case 403: // Forbidden
-			code = twirp.PermissionDenied
-		case 404: // Not Found
-			code = twirp.BadRoute
-		case 429: // Too Many Requests
-			code = twirp.ResourceExhausted
-		case 502, 503, 504: // Bad Gateway, Service Unavailable, Gateway Timeout
-			code = twirp.Unavailable
-		default: // All other codes
-			code = twirp.Unknown
-		}
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
 	}
-
-	twerr := twirp.NewError(code, msg)
-	twerr = twerr.WithMeta("http_error_from_intermediary", "true") // to easily know if this error was from intermediary
-	twerr = twerr.WithMeta("status_code", strconv.Itoa(status))
-	if isHTTPRedirect(status) {
-		twerr = twerr.WithMeta("location", bodyOrLocation)
-	} else {
-		twerr = twerr.WithMeta("body", bodyOrLocation)
+	reqContent := new(FetchPieceRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
 	}
-	return twerr
-}
-
-func isHTTPRedirect(status int) bool {
-	return status >= 300 && status <= 399
-}
-
-// wrapInternal wraps an error with a prefix as an Internal error.
-// The original error cause is accessible by github.com/pkg/errors.Cause.
-func wrapInternal(err error, prefix string) twirp.Error {
-	return twirp.InternalErrorWith(&wrappedError{prefix: prefix, cause: err})
-}
-
-type wrappedError struct {
-	prefix string
-	cause  error
-}
 
-func (e *wrappedError) Error() string { return e.prefix + ": " + e.cause.Error() }
-func (e *wrappedError) Unwrap() error { return e.cause } // for go1.13 + errors.Is/As
-func (e *wrappedError) Cause() error  { return e.cause } // for github.com/pkg/errors
-
-// ensurePanicResponses makes sure that rpc methods causing a panic still result in a Twirp Internal
-// error response (status 500), and error hooks are properly called with the panic wrapped as an error.
-// The panic is re-raised so it can be handled normally with middleware.
-func ensurePanicResponses(ctx context.Context, resp http.ResponseWriter, hooks *twirp.ServerHooks) {
-	if r := recover(); r != nil {
-		// Wrap the panic as an error so it can be passed to error hooks.
-		// The original error is accessible from error hooks, but not visible in the response.
-		err := errFromPanic(r)
-		twerr := &internalWithCause{msg: "Internal service panic", cause: err}
-		// Actually write the error
-		writeError(ctx, resp, twerr, hooks)
-		// If possible, flush the error to the wire.
-		f, ok := resp.(http.Flusher)
-		if ok {
-			f.Flush()
+	handler := s.Spread.FetchPiece
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *FetchPieceRequest) (*FetchPieceReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*FetchPieceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*FetchPieceRequest) when calling interceptor")
+					}
+					return s.Spread.FetchPiece(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*FetchPieceReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*FetchPieceReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
 		}
-
-		panic(r)
 	}
-}
 
-// errFromPanic returns the typed error if the recovered panic is an error, otherwise formats as error.
-func errFromPanic(p interface{}) error {
-	if err, ok := p.(error); ok {
-		return err
-	}
-	return fmt.Errorf("panic: %v", p)
-}
-
-// internalWithCause is a Twirp Internal error wrapping an original error cause,
-// but the original error message is not exposed on Msg(). The original error
-// can be checked with go1.13+ errors.Is/As, and also by (github.com/pkg/errors).Unwrap
-type internalWithCause struct {
-	msg   string
-	cause error
-}
-
-func (e *internalWithCause) Unwrap() error                               { return e.cause } // for go1.13 + errors.Is/As
-func (e *internalWithCause) Cause() error                                { return e.cause } // for github.com/pkg/errors
-func (e *internalWithCause) Error() string                               { return e.msg + ": " + e.cause.Error() }
-func (e *internalWithCause) Code() twirp.ErrorCode                       { return twirp.Internal }
-func (e *internalWithCause) Msg() string                                 { return e.msg }
-func (e *internalWithCause) Meta(key string) string                      { return "" }
-func (e *internalWithCause) MetaMap() map[string]string                  { return nil }
-func (e *internalWithCause) WithMeta(key string, val string) twirp.Error { return e }
-
-// malformedRequestError is used when the twirp server cannot unmarshal a request
-func malformedRequestError(msg string) twirp.Error {
-	return twirp.NewError(twirp.Malformed, msg)
-}
-
-// badRouteError is used when the twirp server cannot route a request
-func badRouteError(msg string, method, url string) twirp.Error {
-	err := twirp.NewError(twirp.BadRoute, msg)
-	err = err.WithMeta("twirp_invalid_route", method+" "+url)
-	return err
-}
-
-// withoutRedirects makes sure that the POST request can not be redirected.
-// The standard library will, by default, redirect requests (including POSTs) if it gets a 302 or
-// 303 response, and also 301s in go1.8. It redirects by making a second request, changing the
-// method to GET and removing the body. This produces very confusing error messages, so instead we
-// set a redirect policy that always errors. This stops Go from executing the redirect.
-//
-// We have to be a little careful in case the user-provided http.Client has its own CheckRedirect
-// policy - if so, we'll run through that policy first.
-//
-// Because this requires modifying the http.Client, we make a new copy of the client and return it.
-func withoutRedirects(in *http.Client) *http.Client {
-	copy := *in
-	copy.CheckRedirect = func(req *http.Request, via []*http.Request) error {
-		if in.CheckRedirect != nil {
-			// Run the input's redirect if it exists, in case it has side effects, but ignore any error it
-			// returns, since we want to use ErrUseLastResponse.
-			err := in.CheckRedirect(req, via)
-			_ = err // Silly, but this makes sure generated code passes errcheck -blank, which some people use.
-		}
-		return http.ErrUseLastResponse
-	}
-	return &copy
-}
+	// Call service method
+	var respContent *FetchPieceReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
 
-// doProtobufRequest makes a Protobuf request to the remote Twirp service.
-func doProtobufRequest(ctx context.Context, client HTTPClient, hooks *twirp.ClientHooks, url string, in, out proto.Message) (_ context.Context, err error) {
-	reqBodyBytes, err := proto.Marshal(in)
 	if err != nil {
-		return ctx, wrapInternal(err, "failed to marshal proto request")
+		s.writeError(ctx, resp, err)
+		return
 	}
-	reqBody := bytes.NewBuffer(reqBodyBytes)
-	if err = ctx.Err(); err != nil {
-		return ctx, wrapInternal(err, "aborted because context was done")
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *FetchPieceReply and nil error while calling FetchPiece. nil responses are not supported"))
+		return
 	}
 
-	req, err := newRequest(ctx, url, reqBody, "application/protobuf")
-	if err != nil {
-		return ctx, wrapInternal(err, "could not build request")
-	}
-	ctx, err = callClientRequestPrepared(ctx, hooks, req)
-	if err != nil {
-		return ctx, err
-	}
+	ctx = callResponsePrepared(ctx, s.hooks)
 
-	req = req.WithContext(ctx)
-	resp, err := client.Do(req)
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
 	if err != nil {
-		return ctx, wrapInternal(err, "failed to do request")
-	}
-	defer func() { _ = resp.Body.Close() }()
-
-	if err = ctx.Err(); err != nil {
-		return ctx, wrapInternal(err, "aborted because context was done")
-	}
-
-	if resp.StatusCode != 200 {
-		return ctx, errorFromResponse(resp)
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
 	}
 
-	respBodyBytes, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return ctx, wrapInternal(err, "failed to read response body")
-	}
-	if err = ctx.Err(); err != nil {
-		return ctx, wrapInternal(err, "aborted because context was done")
-	}
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
 
-	if err = proto.Unmarshal(respBodyBytes, out); err != nil {
-		return ctx, wrapInternal(err, "failed to unmarshal proto response")
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
 	}
-	return ctx, nil
+	callResponseSent(ctx, s.hooks)
 }
 
-// doJSONRequest makes a JSON request to the remote Twirp service.
-func doJSONRequest(ctx context.Context, client HTTPClient, hooks *twirp.ClientHooks, url string, in, out proto.Message) (_ context.Context, err error) {
-	marshaler := &protojson.MarshalOptions{UseProtoNames: true}
-	reqBytes, err := marshaler.Marshal(in)
+func (s *spreadServer) serveFetchPieceProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "FetchPiece")
+	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
-		return ctx, wrapInternal(err, "failed to marshal json request")
-	}
-	if err = ctx.Err(); err != nil {
-		return ctx, wrapInternal(err, "aborted because context was done")
+		s.writeError(ctx, resp, err)
+		return
 	}
 
-	req, err := newRequest(ctx, url, bytes.NewReader(reqBytes), "application/json")
-	if err != nil {
-		return ctx, wrapInternal(err, "could not build request")
-	}
-	ctx, err = callClientRequestPrepared(ctx, hooks, req)
+	buf, err := io.ReadAll(req.Body)
 	if err != nil {
-		return ctx, err
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
 	}
-
-	req = req.WithContext(ctx)
-	resp, err := client.Do(req)
-	if err != nil {
-		return ctx, wrapInternal(err, "failed to do request")
+	reqContent := new(FetchPieceRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
 	}
 
-	defer func() {
-		cerr := resp.Body.Close()
-		if err == nil && cerr != nil {
-			err = wrapInternal(cerr, "failed to close response body")
+	handler := s.Spread.FetchPiece
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *FetchPieceRequest) (*FetchPieceReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*FetchPieceRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*FetchPieceRequest) when calling interceptor")
+					}
+					return s.Spread.FetchPiece(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*FetchPieceReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*FetchPieceReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
 		}
-	}()
-
-	if err = ctx.Err(); err != nil {
-		return ctx, wrapInternal(err, "aborted because context was done")
-	}
-
-	if resp.StatusCode != 200 {
-		return ctx, errorFromResponse(resp)
 	}
 
-	d := json.NewDecoder(resp.Body)
-	rawRespBody := json.RawMessage{}
-	if err := d.Decode(&rawRespBody); err != nil {
-		return ctx, wrapInternal(err, "failed to unmarshal json response")
-	}
-	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
-	if err = unmarshaler.Unmarshal(rawRespBody, out); err != nil {
-		return ctx, wrapInternal(err, "failed to unmarshal json response")
-	}
-	if err = ctx.Err(); err != nil {
-		return ctx, wrapInternal(err, "aborted because context was done")
-	}
-	return ctx, nil
-}
+	// Call service method
+	var respContent *FetchPieceReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
 
-// Call twirp.ServerHooks.RequestReceived if the hook is available
-func callRequestReceived(ctx context.Context, h *twirp.ServerHooks) (context.Context, error) {
-	if h == nil || h.RequestReceived == nil {
-		return ctx, nil
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
 	}
-	return h.RequestReceived(ctx)
-}
-
-// Call twirp.ServerHooks.RequestRouted if the hook is available
-func callRequestRouted(ctx context.Context, h *twirp.ServerHooks) (context.Context, error) {
-	if h == nil || h.RequestRouted == nil {
-		return ctx, nil
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *FetchPieceReply and nil error while calling FetchPiece. nil responses are not supported"))
+		return
 	}
-	return h.RequestRouted(ctx)
-}
 
-// Call twirp.ServerHooks.ResponsePrepared if the hook is available
-func callResponsePrepared(ctx context.Context, h *twirp.ServerHooks) context.Context {
-	if h == nil || h.ResponsePrepared == nil {
-		return ctx
-	}
-	return h.ResponsePrepared(ctx)
-}
+	ctx = callResponsePrepared(ctx, s.hooks)
 
-// Call twirp.ServerHooks.ResponseSent if the hook is available
-func callResponseSent(ctx context.Context, h *twirp.ServerHooks) {
-	if h == nil || h.ResponseSent == nil {
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
 		return
 	}
-	h.ResponseSent(ctx)
-}
 
-// Call twirp.ServerHooks.Error if the hook is available
-func callError(ctx context.Context, h *twirp.ServerHooks, err twirp.Error) context.Context {
-	if h == nil || h.Error == nil {
-		return ctx
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
 	}
-	return h.Error(ctx, err)
+	callResponseSent(ctx, s.hooks)
 }
 
-func callClientResponseReceived(ctx context.Context, h *twirp.ClientHooks) {
-	if h == nil || h.ResponseReceived == nil {
-		return
-	}
-	h.ResponseReceived(ctx)
+func (s *spreadServer) ServiceDescriptor() ([]byte, int) {
+	return twirpFileDescriptor2, 0
 }
 
-func callClientRequestPrepared(ctx context.Context, h *twirp.ClientHooks, req *http.Request) (context.Context, error) {
-	if h == nil || h.RequestPrepared == nil {
-		return ctx, nil
-	}
-	return h.RequestPrepared(ctx, req)
+func (s *spreadServer) ProtocGenTwirpVersion() string {
+	return "v8.1.3"
 }
 
-func callClientError(ctx context.Context, h *twirp.ClientHooks, err twirp.Error) {
-	if h == nil || h.Error == nil {
-		return
-	}
-	h.Error(ctx, err)
+// PathPrefix returns the base service path, in the form: "/<prefix>/<package>.<Service>/"
+// that is everything in a Twirp route except for the <Method>. This can be used for routing,
+// for example to identify the requests that are targeted to this service in a mux.
+func (s *spreadServer) PathPrefix() string {
+	return baseServicePath(s.pathPrefix, "bergamotroad", "Spread")
 }
 
-var twirpFileDescriptor0 = []byte{
-	// 278 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x84, 0x91, 0x3f, 0x4b, 0xc4, 0x40,
-	0x10, 0xc5, 0x89, 0x9e, 0x01, 0xc7, 0x88, 0xb2, 0xf8, 0x27, 0x97, 0x42, 0x42, 0xb0, 0x88, 0x08,
-	0x09, 0x78, 0xd5, 0x29, 0x36, 0x16, 0x5a, 0xd9, 0xc4, 0x42, 0xb0, 0x39, 0x36, 0xc9, 0x78, 0x2e,
-	0x6c, 0x76, 0xd7, 0xcd, 0x08, 0xa6, 0xf6, 0x8b, 0x4b, 0xe2, 0x1d, 0x6e, 0xf0, 0xc0, 0x72, 0xe7,
-	0xb7, 0x6f, 0xde, 0xe3, 0x0d, 0x4c, 0x4b, 0xb4, 0x4b, 0xde, 0x68, 0xb2, 0x9a, 0xd7, 0x79, 0x6b,
-	0x2c, 0xf2, 0x3a, 0x33, 0x56, 0x93, 0x66, 0x81, 0x8b, 0x92, 0x12, 0xf6, 0x9e, 0xb9, 0xa0, 0x02,
-	0xdf, 0x3f, 0xb0, 0x25, 0x76, 0x06, 0xb0, 0x44, 0x85, 0x96, 0x93, 0xd0, 0x2a, 0xf4, 0x62, 0x2f,
-	0x9d, 0x14, 0xce, 0x84, 0xcd, 0xe0, 0xd8, 0x70, 0x12, 0xa8, 0x2a, 0x5c, 0x34, 0x42, 0x4a, 0xd1,
-	0x62, 0xa5, 0x55, 0xdd, 0x86, 0x5b, 0xb1, 0x97, 0xee, 0x17, 0x47, 0x6b, 0xf8, 0xe8, 0xb0, 0xe4,
-	0x12, 0x76, 0x7f, 0x3c, 0x8c, 0xec, 0xfe, 0x73, 0x48, 0xe6, 0x10, 0xdc, 0x23, 0x55, 0x6f, 0xeb,
-	0x44, 0x17, 0x70, 0xc8, 0x5f, 0x09, 0xed, 0xe2, 0x8f, 0xea, 0x60, 0x98, 0x3f, 0xfc, 0x4a, 0xcf,
-	0x01, 0x56, 0xd2, 0xde, 0xe8, 0x04, 0xfc, 0x1a, 0x25, 0xf1, 0x36, 0xf4, 0xe2, 0xed, 0x34, 0x28,
-	0x56, 0xaf, 0xab, 0x2f, 0x0f, 0xfc, 0xa7, 0xa1, 0x10, 0x76, 0x0d, 0x93, 0x3e, 0x18, 0x9b, 0x66,
-	0x6e, 0x27, 0x99, 0x53, 0x48, 0x74, 0xba, 0x09, 0xf5, 0xeb, 0x6f, 0x61, 0x67, 0x30, 0x63, 0xd1,
-	0xf8, 0x87, 0x1b, 0x3e, 0x0a, 0x37, 0x32, 0x23, 0xbb, 0xbb, 0x9b, 0x97, 0xf9, 0x08, 0xe1, 0x27,
-	0x6f, 0x8c, 0xc4, 0x7c, 0x74, 0x37, 0xa1, 0x08, 0xad, 0xe2, 0x32, 0x37, 0x88, 0x36, 0x2f, 0x2d,
-	0x2a, 0xb2, 0x9d, 0x29, 0x4b, 0x7f, 0xb8, 0xe4, 0xec, 0x3b, 0x00, 0x00, 0xff, 0xff, 0x7f, 0x1c,
-	0xf3, 0x10, 0xe6, 0x01, 0x00, 0x00,
+var twirpFileDescriptor2 = []byte{
+	// 496 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x54, 0x41, 0x6f, 0xd3, 0x30,
+	0x14, 0x56, 0x68, 0x1a, 0xd6, 0xd7, 0xa2, 0x6e, 0x16, 0xb0, 0xac, 0x1a, 0x50, 0xe5, 0x54, 0x84,
+	0x68, 0xa5, 0xed, 0x34, 0xd0, 0x2e, 0x1c, 0x80, 0x03, 0x13, 0x28, 0x1c, 0x90, 0xe0, 0x50, 0x39,
+	0xf1, 0x5b, 0x6a, 0xe1, 0xd8, 0xc1, 0xf1, 0x24, 0xfa, 0xb7, 0xf8, 0x25, 0xf0, 0x8f, 0x90, 0xdd,
+	0x74, 0x75, 0xb6, 0x4e, 0xeb, 0xcd, 0xf9, 0xbe, 0x67, 0xbf, 0xcf, 0xdf, 0xf7, 0x62, 0x38, 0xca,
+	0x50, 0x17, 0xb4, 0x54, 0x46, 0x2b, 0xca, 0x66, 0x75, 0xa5, 0x91, 0xb2, 0x69, 0xa5, 0x95, 0x51,
+	0x64, 0xe0, 0x53, 0x49, 0x0e, 0xfd, 0x8f, 0x48, 0xd9, 0x05, 0xd6, 0x35, 0x2d, 0x90, 0x3c, 0x07,
+	0x28, 0x50, 0xa2, 0xa6, 0x86, 0x2b, 0x19, 0x07, 0xe3, 0x60, 0x12, 0xa6, 0x1e, 0x42, 0x8e, 0xa1,
+	0xa7, 0xaa, 0x35, 0xfd, 0x60, 0x1c, 0x4c, 0x7a, 0xe9, 0x06, 0x20, 0x4f, 0x21, 0x62, 0xbc, 0xc0,
+	0xda, 0xc4, 0x1d, 0x47, 0x35, 0x5f, 0x49, 0x06, 0xfd, 0x6f, 0x94, 0x9b, 0x14, 0x7f, 0x5d, 0x61,
+	0x6d, 0xee, 0x6d, 0x72, 0x0a, 0x4f, 0x2a, 0x6a, 0x38, 0xca, 0x1c, 0xe7, 0x25, 0x17, 0x82, 0xd7,
+	0x98, 0x2b, 0xc9, 0x6a, 0xd7, 0xf0, 0x51, 0xfa, 0x78, 0x4d, 0x5e, 0x78, 0x5c, 0xf2, 0x37, 0x80,
+	0xde, 0xaa, 0x49, 0x25, 0x96, 0xf7, 0xb6, 0x78, 0x0d, 0xe1, 0x02, 0x29, 0x73, 0x27, 0xf6, 0x4f,
+	0x8e, 0xa6, 0xbe, 0x27, 0x53, 0xcf, 0x90, 0xd4, 0x95, 0x91, 0x57, 0x70, 0xb0, 0x40, 0xc1, 0xda,
+	0x6a, 0x3a, 0x4e, 0xcd, 0xbe, 0x25, 0x7c, 0x25, 0xe4, 0x25, 0xec, 0xd3, 0xe2, 0x86, 0xf2, 0xd0,
+	0x29, 0x18, 0xd2, 0xa2, 0x25, 0xda, 0xda, 0x99, 0x2b, 0x79, 0xc9, 0x75, 0x89, 0x2c, 0xee, 0x8e,
+	0x83, 0xc9, 0x5e, 0xba, 0x01, 0x92, 0x33, 0x18, 0xbc, 0x47, 0x93, 0x2f, 0xd6, 0xbe, 0xd9, 0x83,
+	0x2f, 0x0d, 0xea, 0xf9, 0xad, 0xab, 0x0d, 0x1d, 0xfe, 0xe1, 0x1a, 0x4e, 0xce, 0x01, 0x9a, 0xad,
+	0xd6, 0x0d, 0x9b, 0x0b, 0x0a, 0x43, 0xeb, 0x38, 0x18, 0x77, 0x26, 0x83, 0xb4, 0xf9, 0x22, 0x87,
+	0xf0, 0xd0, 0x28, 0x35, 0x57, 0x62, 0x65, 0xc4, 0x5e, 0x1a, 0x19, 0xa5, 0x3e, 0x0b, 0x96, 0xfc,
+	0x80, 0x03, 0xb7, 0xfd, 0x0b, 0xc7, 0x1c, 0x77, 0x8d, 0x8d, 0x40, 0xf8, 0x93, 0x4b, 0xd6, 0x8c,
+	0x85, 0x5b, 0x5b, 0x4c, 0xd2, 0x12, 0x9b, 0x79, 0x70, 0xeb, 0xe4, 0x4f, 0x00, 0x43, 0xff, 0x74,
+	0xab, 0x70, 0x9d, 0x47, 0xb0, 0x5b, 0x1e, 0xc7, 0xd0, 0xd3, 0x58, 0xab, 0x2b, 0x9d, 0xe3, 0x6a,
+	0x2a, 0x06, 0xe9, 0x06, 0xb8, 0x6b, 0x0c, 0xaf, 0x05, 0x86, 0x5b, 0x04, 0x76, 0x37, 0x02, 0x2d,
+	0x56, 0x2a, 0x8d, 0x71, 0xe4, 0x3c, 0x71, 0xeb, 0x93, 0x7f, 0x01, 0x44, 0x5f, 0xdd, 0x6f, 0x44,
+	0xde, 0x40, 0x68, 0x07, 0x8d, 0xdc, 0x50, 0xe9, 0x4d, 0xf8, 0xe8, 0x70, 0x1b, 0x65, 0xef, 0x79,
+	0x0e, 0x5d, 0x77, 0x75, 0x32, 0x6a, 0x57, 0xf8, 0x39, 0x8f, 0xe2, 0xad, 0x9c, 0xdd, 0xfe, 0xa9,
+	0x89, 0xd5, 0x39, 0x47, 0x5e, 0x6c, 0xa9, 0xf3, 0x13, 0x1b, 0x3d, 0xbb, 0xbb, 0xa0, 0x12, 0xcb,
+	0x77, 0x6f, 0xbf, 0x9f, 0xb5, 0x78, 0xfc, 0x4d, 0xcb, 0x4a, 0xe0, 0xac, 0xf5, 0x76, 0x70, 0x69,
+	0x50, 0x4b, 0x2a, 0x66, 0x15, 0xa2, 0x9e, 0x65, 0x1a, 0xa5, 0xd1, 0xcb, 0x2a, 0xcb, 0x22, 0xf7,
+	0x9a, 0x9c, 0xfe, 0x0f, 0x00, 0x00, 0xff, 0xff, 0x72, 0xf4, 0x31, 0xe1, 0x6a, 0x04, 0x00, 0x00,
 }
--- a/internal/peer/broperator/error.go
+++ b/internal/peer/broperator/error.go
@@ -27,6 +27,15 @@
 	codeInternal     = "internal"
 )
 
+// codesOfRequests are the codes of what is found before the administration is asked.
+var codesOfRequests = map[int]string{
+	http.StatusBadRequest:            codeRequest,
+	http.StatusRequestEntityTooLarge: codeRequest,
+	http.StatusForbidden:             codeDenied,
+	http.StatusNotFound:              codeNotExist,
+	http.StatusServiceUnavailable:    codeUnavailable,
+}
+
 type faultReply struct {
 	Path    string `json:"path"`
 	Message string `json:"message"`
@@ -91,7 +100,7 @@
 
 func statusOf(err error) (int, string) {
 	if request, ok := errors.Into[ErrRequest](err); ok {
-		return request.status, codeRequest
+		return request.status, codesOfRequests[request.status]
 	}
 	switch {
 	case bradministration.IsErrUnidentified(err):
--- a/internal/peer/broperator/events.go
+++ b/internal/peer/broperator/events.go
@@ -1,7 +1,6 @@
 package broperator
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/kataras/iris/v12"
@@ -37,7 +36,7 @@
 	limit := min(ctx.URLParamIntDefault("limit", standardEvents), maxEvents)
 	page, err := h.timeline.Read(ctx.Request().Context(), after, limit)
 	if err != nil {
-		return ErrRequest{status: http.StatusServiceUnavailable, reason: err.Error()}
+		return unavailable(err)
 	}
 	reply := eventsReply{Events: []eventReply{}, Position: page.Position()}
 	for _, e := range page.Events() {
--- a/internal/peer/broperator/handler.go
+++ b/internal/peer/broperator/handler.go
@@ -53,6 +53,7 @@
 	administration Administration
 	timeline       Timeline
 	app            *iris.Application
+	routes         []route
 }
 
 // NewHandler returns the front end of a VM.
@@ -63,7 +64,7 @@
 	h.app.Get("/readyz", h.readiness)
 	h.app.Get("/metrics", iris.FromStd(promhttp.HandlerFor(metrics, promhttp.HandlerOpts{})))
 	h.app.Get(openAPIPath, h.openAPI)
-	for _, r := range h.routes() {
+	for _, r := range h.standardRoutes() {
 		h.register(r)
 	}
 	if err := h.app.Build(); err != nil {
--- a/internal/peer/broperator/openapi.go
+++ b/internal/peer/broperator/openapi.go
@@ -59,7 +59,7 @@
 var pathParameter = regexp.MustCompile(`\{(\w+)\}`)
 
 func (h *Handler) openAPI(ctx iris.Context) {
-	_ = ctx.JSON(describe(h.routes()))
+	_ = ctx.JSON(describe(h.routes))
 }
 
 // describe returns the OpenAPI description of routes.
--- a/internal/peer/broperator/operation.go
+++ b/internal/peer/broperator/operation.go
@@ -37,6 +37,10 @@
 	return ErrRequest{status: http.StatusBadRequest, reason: reason}
 }
 
+func unavailable(err error) error {
+	return ErrRequest{status: http.StatusServiceUnavailable, reason: err.Error()}
+}
+
 func readBody(ctx iris.Context) ([]byte, error) {
 	data, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, maxBody))
 	if err != nil {
--- /dev/null
+++ b/internal/peer/broperator/poison.go
@@ -0,0 +1,81 @@
+package broperator
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/kataras/iris/v12"
+
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+)
+
+// Refusal is a request that is refused until a time.
+type Refusal interface {
+	// Fingerprint returns the fingerprint of the request.
+	Fingerprint() brrequest.Fingerprint
+	// Until returns the end of the refusal.
+	Until() time.Time
+}
+
+// Poisoning knows the requests that are refused because servers die of them.
+type Poisoning[R Refusal] interface {
+	// Refusals returns the requests that are refused.
+	Refusals(ctx context.Context) ([]R, error)
+	// Lift ends a refusal on all VMs and reports whether this VM had it.
+	Lift(ctx context.Context, fingerprint brrequest.Fingerprint) (bool, error)
+}
+
+type refusalsReply struct {
+	Refusals []refusalReply `json:"refusals"`
+}
+
+type refusalReply struct {
+	Fingerprint string    `json:"fingerprint"`
+	Until       time.Time `json:"until"`
+}
+
+// ServePoison adds the routes by which operators list and lift refusals. It is
+// called before the front end serves.
+func ServePoison[R Refusal](h *Handler, poisoning Poisoning[R]) error {
+	h.register(route{
+		method: http.MethodGet, path: "/v1/poison", summary: "List the requests that are refused because servers die of them",
+		handle: func(ctx iris.Context) error { return listPoison(ctx, poisoning) },
+	})
+	h.register(route{
+		method: http.MethodDelete, path: "/v1/poison/{fingerprint}", summary: "Lift a refusal on all VMs",
+		handle: func(ctx iris.Context) error { return liftPoison(ctx, poisoning) },
+	})
+	return h.app.RefreshRouter()
+}
+
+func listPoison[R Refusal](ctx iris.Context, poisoning Poisoning[R]) error {
+	refusals, err := poisoning.Refusals(ctx.Request().Context())
+	if err != nil {
+		return unavailable(err)
+	}
+	reply := refusalsReply{Refusals: []refusalReply{}}
+	for _, r := range refusals {
+		reply.Refusals = append(reply.Refusals, refusalReply{Fingerprint: r.Fingerprint().String(), Until: r.Until()})
+	}
+	return ctx.JSON(reply)
+}
+
+func liftPoison[R Refusal](ctx iris.Context, poisoning Poisoning[R]) error {
+	if !principalOf(ctx).CanOperate() {
+		return ErrRequest{status: http.StatusForbidden, reason: "editors and administrators of the platform only"}
+	}
+	fingerprint, err := brrequest.ParseFingerprint(ctx.Params().Get("fingerprint"))
+	if err != nil {
+		return badRequest(err.Error())
+	}
+	lifted, err := poisoning.Lift(ctx.Request().Context(), fingerprint)
+	if err != nil {
+		return unavailable(err)
+	}
+	if !lifted {
+		return ErrRequest{status: http.StatusNotFound, reason: "this VM does not refuse " + fingerprint.String()}
+	}
+	ctx.StatusCode(http.StatusNoContent)
+	return nil
+}
--- a/internal/peer/broperator/read.go
+++ b/internal/peer/broperator/read.go
@@ -172,7 +172,7 @@
 		return err
 	}
 	reply := statusReply{VM: h.vm, Generation: snapshot.Generation(), Resources: map[string]int{}}
-	for _, kind := range brconfig.Kinds() {
+	for _, kind := range snapshot.Kinds() {
 		if count := snapshot.Len(kind); count > 0 {
 			reply.Resources[string(kind)] = count
 		}
--- a/internal/peer/broperator/route.go
+++ b/internal/peer/broperator/route.go
@@ -26,8 +26,8 @@
 	summary string
 }
 
-// routes are the administration API. The description is made from them.
-func (h *Handler) routes() []route {
+// standardRoutes are the routes that every front end has.
+func (h *Handler) standardRoutes() []route {
 	from := parameter{"from", "an old generation to apply again, with an empty body; keys, tokens and moves stay as they are"}
 	past := parameter{"generation", "an old generation to read"}
 	return []route{
@@ -44,7 +44,9 @@
 	}
 }
 
+// register adds a route to the front end and its description.
 func (h *Handler) register(r route) {
+	h.routes = append(h.routes, r)
 	h.app.Handle(r.method, r.path, func(ctx iris.Context) {
 		principal, err := h.administration.Identify(ctx.Request().Context(), bearerOf(ctx))
 		if err != nil {
--- a/internal/service/bradministration/apply.go
+++ b/internal/service/bradministration/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
@@ -10,6 +11,7 @@
 	"bergamotroad.example/bergamotroad/internal/decide/braccess"
 	"bergamotroad.example/bergamotroad/internal/decide/brcheck"
 	"bergamotroad.example/bergamotroad/internal/decide/brselect"
+	"bergamotroad.example/bergamotroad/internal/decide/brshare"
 	"bergamotroad.example/bergamotroad/internal/model/brconfig"
 	"bergamotroad.example/bergamotroad/internal/peer/brtable"
 )
@@ -132,6 +134,9 @@
 	if err := brcheck.Quotas(snapshot, next, changes); err != nil {
 		return nil, nil, errors.Errorf("check limits: %w", err)
 	}
+	if err := checkContracts(next, changes); err != nil {
+		return nil, nil, err
+	}
 	if err := brselect.CheckChanged(next, changes); err != nil {
 		return nil, nil, errors.Errorf("check selectors: %w", err)
 	}
@@ -170,3 +175,19 @@
 	}
 	return accepted, nil
 }
+
+// checkContracts returns ErrContract where a changed contract or unit can't be
+// kept to exactly.
+func checkContracts(next *brconfig.Snapshot, changes []brconfig.Change) error {
+	isTouched := slices.ContainsFunc(changes, func(c brconfig.Change) bool {
+		kind := c.Reference().Kind()
+		return kind == brconfig.KindContract || kind == brconfig.KindUnit
+	})
+	if !isTouched {
+		return nil
+	}
+	if err := brshare.CheckContracts(next); err != nil {
+		return ErrContract{cause: err}
+	}
+	return nil
+}
--- a/internal/service/bradministration/base.go
+++ b/internal/service/bradministration/base.go
@@ -52,6 +52,9 @@
 
 // chain returns the deltas after own up to head, oldest first.
 func (a *Administration) chain(ctx context.Context, own, head brdocument.Head) ([][]byte, error) {
+	if head.Generation() > own.Generation()+maxRebuild {
+		return nil, errors.Errorf("%d generations lie between", head.Generation()-own.Generation())
+	}
 	deltas := [][]byte{}
 	for head.Generation() > own.Generation() {
 		data, delta, err := a.readDelta(ctx, head)
--- a/internal/service/bradministration/error.go
+++ b/internal/service/bradministration/error.go
@@ -133,12 +133,29 @@
 	return ok
 }
 
+// ErrContract says that a contract can't be kept to exactly.
+type ErrContract struct {
+	cause error
+}
+
+// Error returns the cause.
+func (e ErrContract) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e ErrContract) Unwrap() error { return e.cause }
+
+// IsErrContract reports whether err is or wraps ErrContract.
+func IsErrContract(err error) bool {
+	_, ok := errors.Into[ErrContract](err)
+	return ok
+}
+
 // IsErrDenied reports whether a change was refused for its author's rights.
 func IsErrDenied(err error) bool { return braccess.IsErrDenied(err) }
 
 // IsErrRefused reports whether a change was refused for what it holds.
 func IsErrRefused(err error) bool {
-	return brcheck.IsErrInvalid(err) || brcheck.IsErrTooMany(err) || brselect.IsErrContradiction(err)
+	return IsErrContract(err) || brcheck.IsErrInvalid(err) || brcheck.IsErrTooMany(err) || brselect.IsErrContradiction(err)
 }
 
 // Fault is what is wrong with one field of a resource.
--- a/internal/service/bradministration/past.go
+++ b/internal/service/bradministration/past.go
@@ -50,7 +50,7 @@
 func Restoring(past *brconfig.Snapshot) Edit {
 	return func(snapshot *brconfig.Snapshot) ([]brconfig.Change, error) {
 		changes := []brconfig.Change{}
-		for _, kind := range brconfig.Kinds() {
+		for _, kind := range snapshot.Kinds() {
 			if notRestored.Has(kind) {
 				continue
 			}
