Give operators the command line of the administration

Cause: changes could be made by raw HTTP only. Change: the verbs apply, plan, get, delete, label, history, status, key and token, with tables or JSON and an exit code for each sort of failure; they call a VM through the peer package bradmin, which sends a change again under one identifier where its answer is lost. Conclusion: administration.txtar runs the verbs with the real binary: first token, change of a directory, conflict, denied team, key granted and withdrawn.

--- /dev/null
+++ b/internal/command/brcommand/apply.go
@@ -0,0 +1,36 @@
+package brcommand
+
+import (
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+)
+
+func newApply() *cobra.Command {
+	var from uint64
+	command := &cobra.Command{
+		Use:   "apply [FILE|DIRECTORY|-]...",
+		Short: "Put the resources of files, all in one change or none",
+	}
+	connection := addConnection(command)
+	flags := addChangeFlags(command)
+	command.Flags().Uint64Var(&from, "from-generation", 0, "apply this old generation again, but for keys, tokens and moves")
+	command.RunE = func(command *cobra.Command, arguments []string) error {
+		if (from == 0) == (len(arguments) == 0) {
+			return errors.New("either files or --from-generation must be given")
+		}
+		client, err := connection.client()
+		if err != nil {
+			return err
+		}
+		documents, err := readDocuments(arguments, command.InOrStdin())
+		if err != nil {
+			return err
+		}
+		accepted, err := client.Apply(command.Context(), documents, flags.change(command).WithFrom(from))
+		if err != nil {
+			return errors.Errorf("apply: %w", err)
+		}
+		return connection.printAccepted(command, accepted)
+	}
+	return command
+}
--- /dev/null
+++ b/internal/command/brcommand/change.go
@@ -0,0 +1,34 @@
+package brcommand
+
+import (
+	"github.com/google/uuid"
+	"github.com/spf13/cobra"
+
+	"bergamotroad.example/bergamotroad/internal/peer/bradmin"
+)
+
+// changeFlags say how a command makes its change.
+type changeFlags struct {
+	expected uint64
+	key      string
+}
+
+func addChangeFlags(command *cobra.Command) *changeFlags {
+	f := &changeFlags{}
+	command.Flags().Uint64Var(&f.expected, "expect", 0, "refuse the change if a resource in it has changed after this generation")
+	command.Flags().StringVar(&f.key, "operation", "", "identifier of the change; repeated with the same one, it is made once")
+	return f
+}
+
+// change returns the change that the flags describe, with a new identifier if none is given.
+func (f *changeFlags) change(command *cobra.Command) bradmin.Change {
+	key := f.key
+	if key == "" {
+		key = uuid.NewString()
+	}
+	change := bradmin.Change{}.WithKey(key)
+	if command.Flags().Changed("expect") {
+		change = change.WithExpected(f.expected)
+	}
+	return change
+}
--- /dev/null
+++ b/internal/command/brcommand/connection.go
@@ -0,0 +1,64 @@
+package brcommand
+
+import (
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+
+	"bergamotroad.example/bergamotroad/internal/peer/bradmin"
+)
+
+// Variables of the environment that stand in for flags.
+const (
+	variableServer = "BERGAMOTROAD_SERVER"
+	variableToken  = "BERGAMOTROAD_TOKEN"
+)
+
+const (
+	defaultServer = "http://127.0.0.1:7500"
+	callTimeout   = time.Minute
+)
+
+// connection is how a command reaches the administration API of a VM.
+type connection struct {
+	server    string
+	tokenFile string
+	output    string
+}
+
+// addConnection gives a command the flags of a connection.
+func addConnection(command *cobra.Command) *connection {
+	c := &connection{}
+	flags := command.PersistentFlags()
+	flags.StringVar(&c.server, "server", "", "base URL of a VM's administration API; else $"+variableServer+", else "+defaultServer)
+	flags.StringVar(&c.tokenFile, "token-file", "", "file with the operator's token; else $"+variableToken)
+	flags.StringVar(&c.output, "output", outputTable, "table for people or json for programs")
+	_ = command.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]string{outputTable, outputJSON}, cobra.ShellCompDirectiveNoFileComp))
+	return c
+}
+
+func (c *connection) client() (*bradmin.Client, error) {
+	token := os.Getenv(variableToken)
+	if c.tokenFile != "" {
+		data, err := os.ReadFile(c.tokenFile)
+		if err != nil {
+			return nil, errors.Errorf("read token: %w", err)
+		}
+		token = strings.TrimSpace(string(data))
+	}
+	return bradmin.NewClient(&http.Client{Timeout: callTimeout}, c.address(), token), nil
+}
+
+func (c *connection) address() string {
+	if c.server != "" {
+		return c.server
+	}
+	if server := os.Getenv(variableServer); server != "" {
+		return server
+	}
+	return defaultServer
+}
--- /dev/null
+++ b/internal/command/brcommand/output.go
@@ -0,0 +1,62 @@
+package brcommand
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+
+	"bergamotroad.example/bergamotroad/internal/peer/bradmin"
+)
+
+// Forms of output.
+const (
+	outputTable = "table"
+	outputJSON  = "json"
+)
+
+const columnGap = 2
+
+// print writes an answer as it came, or as rows of a table with a header.
+func (c *connection) print(command *cobra.Command, raw json.RawMessage, rows [][]string) error {
+	switch c.output {
+	case outputJSON:
+		command.Println(strings.TrimSpace(string(raw)))
+		return nil
+	case outputTable:
+		return printTable(command, rows)
+	default:
+		return errors.Errorf("output %q is neither %q nor %q", c.output, outputTable, outputJSON)
+	}
+}
+
+func printTable(command *cobra.Command, rows [][]string) error {
+	writer := tabwriter.NewWriter(command.OutOrStdout(), 0, 0, columnGap, ' ', 0)
+	for _, row := range rows {
+		if _, err := fmt.Fprintln(writer, strings.Join(row, "\t")); err != nil {
+			return errors.Errorf("print table: %w", err)
+		}
+	}
+	if err := writer.Flush(); err != nil {
+		return errors.Errorf("print table: %w", err)
+	}
+	return nil
+}
+
+// printAccepted writes what became of a change.
+func (c *connection) printAccepted(command *cobra.Command, accepted bradmin.Accepted) error {
+	warn(command, accepted.Warnings())
+	return c.print(command, accepted.Raw(), [][]string{
+		{"GENERATION", "OPERATION"},
+		{fmt.Sprint(accepted.Generation()), accepted.Operation()},
+	})
+}
+
+func warn(command *cobra.Command, warnings []string) {
+	for _, w := range warnings {
+		command.PrintErrln("warning:", w)
+	}
+}
--- /dev/null
+++ b/internal/command/brcommand/plan.go
@@ -0,0 +1,38 @@
+package brcommand
+
+import (
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+
+	"bergamotroad.example/bergamotroad/internal/peer/bradmin"
+)
+
+func newPlan() *cobra.Command {
+	command := &cobra.Command{
+		Use:   "plan FILE|DIRECTORY|-...",
+		Short: "Show what apply would alter, and change nothing",
+		Args:  cobra.MinimumNArgs(1),
+	}
+	connection := addConnection(command)
+	command.RunE = func(command *cobra.Command, arguments []string) error {
+		client, err := connection.client()
+		if err != nil {
+			return err
+		}
+		documents, err := readDocuments(arguments, command.InOrStdin())
+		if err != nil {
+			return err
+		}
+		plan, err := client.Plan(command.Context(), documents, bradmin.Change{})
+		if err != nil {
+			return errors.Errorf("plan: %w", err)
+		}
+		warn(command, plan.Warnings())
+		rows := [][]string{{"ACTION", "KIND", "NAME"}}
+		for _, s := range plan.Steps() {
+			rows = append(rows, []string{s.Action(), s.Kind(), s.Name()})
+		}
+		return connection.print(command, plan.Raw(), rows)
+	}
+	return command
+}
--- a/internal/command/brcommand/root.go
+++ b/internal/command/brcommand/root.go
@@ -17,12 +17,6 @@
 	"github.com/spf13/cobra"
 )
 
-// Exit codes of the program.
-const (
-	exitSuccess = 0
-	exitFailure = 1
-)
-
 // Main runs the program with its arguments and returns its exit code.
 func Main(arguments []string, output, errorOutput io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
@@ -35,7 +29,7 @@
 	root.SetErr(errorOutput)
 	if err := root.ExecuteContext(ctx); err != nil {
 		_, _ = fmt.Fprintln(errorOutput, "bergamotroad:", err)
-		return exitFailure
+		return exitCodeOf(err)
 	}
 	return exitSuccess
 }
@@ -48,5 +42,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(newServe(), newCheck(), newVersion())
+	root.AddCommand(newApply(), newPlan(), newGet(), newDelete(), newLabel())
+	root.AddCommand(newHistory(), newStatus(), newKey(), newToken())
 	return root
 }
--- /dev/null
+++ b/internal/peer/bradmin/client.go
@@ -0,0 +1,237 @@
+// Package bradmin talks to the administration API of a VM.
+//
+// # Usage
+//
+//	client := bradmin.NewClient(httpClient, "http://10.0.0.2:7500", token)
+//	answer, err := client.Apply(ctx, documents, bradmin.Change{}.WithKey(uuid.NewString()))
+//	if bradmin.IsErrConflict(err) {
+//		// read again, then decide
+//	}
+package bradmin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// maxReply bounds what is read of a reply, in bytes.
+	maxReply = 256 << 20
+	// maxTries bounds how often a change is sent whose answer was lost.
+	maxTries = 3
+)
+
+// Client calls one VM.
+type Client struct {
+	client  *http.Client
+	address string
+	token   string
+}
+
+// NewClient returns a client of the API at a base URL that shows a token, or none where it is "".
+func NewClient(client *http.Client, address, token string) *Client {
+	return &Client{client: client, address: strings.TrimSuffix(address, "/"), token: token}
+}
+
+// Change says how a change is to be made.
+type Change struct {
+	key      string
+	expected string
+	from     uint64
+}
+
+// WithKey returns the change with an identifier, under which it is made once.
+func (c Change) WithKey(key string) Change {
+	c.key = key
+	return c
+}
+
+// WithExpected returns the change that is refused where one of its resources
+// has changed after a generation.
+func (c Change) WithExpected(generation uint64) Change {
+	c.expected = strconv.Quote(strconv.FormatUint(generation, 10))
+	return c
+}
+
+// WithFrom returns the change that applies an old generation again.
+func (c Change) WithFrom(generation uint64) Change {
+	c.from = generation
+	return c
+}
+
+func (c Change) query() url.Values {
+	if c.from == 0 {
+		return nil
+	}
+	return url.Values{"from": {strconv.FormatUint(c.from, 10)}}
+}
+
+// Apply puts resources, given as their documents.
+func (c *Client) Apply(ctx context.Context, documents []json.RawMessage, change Change) (Accepted, error) {
+	return c.change(ctx, http.MethodPost, "/v1/apply", change, bodyOf(documents))
+}
+
+// Delete deletes a resource.
+func (c *Client) Delete(ctx context.Context, kind, name string, change Change) (Accepted, error) {
+	return c.change(ctx, http.MethodDelete, resourcePath(kind, name), change, nil)
+}
+
+type labelsRequest struct {
+	Set    map[string]string `json:"set,omitempty"`
+	Remove []string          `json:"remove,omitempty"`
+}
+
+// Label sets and removes labels of a resource.
+func (c *Client) Label(ctx context.Context, kind, name string, set map[string]string, remove []string, change Change) (Accepted, error) {
+	body, err := json.Marshal(labelsRequest{Set: set, Remove: remove})
+	if err != nil {
+		return Accepted{}, errors.Errorf("encode labels: %w", err)
+	}
+	return c.change(ctx, http.MethodPatch, resourcePath(kind, name)+"/labels", change, body)
+}
+
+// change sends a change again where its answer is lost, which is safe under one key.
+func (c *Client) change(ctx context.Context, method, path string, change Change, body []byte) (Accepted, error) {
+	var lost error
+	for range maxTries {
+		var reply acceptedReply
+		raw, err := c.call(ctx, method, path, change.query(), change, body, &reply)
+		if err == nil {
+			return acceptedOf(raw, reply), nil
+		}
+		if !mayHaveRun(err) {
+			if lost != nil && IsErrUnavailable(err) {
+				return Accepted{}, lost
+			}
+			return Accepted{}, err
+		}
+		lost = err
+		if change.key == "" || ctx.Err() != nil {
+			break
+		}
+	}
+	return Accepted{}, lost
+}
+
+// Plan tells what Apply would alter.
+func (c *Client) Plan(ctx context.Context, documents []json.RawMessage, change Change) (Plan, error) {
+	var reply planReply
+	raw, err := c.call(ctx, http.MethodPost, "/v1/plan", change.query(), change, bodyOf(documents), &reply)
+	if err != nil {
+		return Plan{}, err
+	}
+	return planOf(raw, reply), nil
+}
+
+// List reads the resources of a kind that have labels, given as name=value or name.
+func (c *Client) List(ctx context.Context, kind string, labels []string) (List, error) {
+	var reply listReply
+	raw, err := c.call(ctx, http.MethodGet, "/v1/resources/"+url.PathEscape(kind), url.Values{"label": labels}, Change{}, nil, &reply)
+	if err != nil {
+		return List{}, err
+	}
+	return listOf(raw, reply), nil
+}
+
+// Get reads a resource.
+func (c *Client) Get(ctx context.Context, kind, name string) (List, error) {
+	var reply resourceReply
+	raw, err := c.call(ctx, http.MethodGet, resourcePath(kind, name), nil, Change{}, nil, &reply)
+	if err != nil {
+		return List{}, err
+	}
+	return listOf(raw, listReply{Generation: reply.Generation, Resources: []resourceDocument{reply.Resource}}), nil
+}
+
+// History reads accepted changes, newest first.
+func (c *Client) History(ctx context.Context, limit int) (History, error) {
+	var reply historyReply
+	raw, err := c.call(ctx, http.MethodGet, "/v1/history", url.Values{"limit": {strconv.Itoa(limit)}}, Change{}, nil, &reply)
+	if err != nil {
+		return History{}, err
+	}
+	return historyOf(raw, reply), nil
+}
+
+// Operation reads what became of an operation.
+func (c *Client) Operation(ctx context.Context, id string) (History, error) {
+	var reply entryReply
+	raw, err := c.call(ctx, http.MethodGet, "/v1/operations/"+url.PathEscape(id), nil, Change{}, nil, &reply)
+	if err != nil {
+		return History{}, err
+	}
+	return historyOf(raw, historyReply{Entries: []entryReply{reply}}), nil
+}
+
+// Status reads the state of the VM.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var reply statusReply
+	raw, err := c.call(ctx, http.MethodGet, "/v1/status", nil, Change{}, nil, &reply)
+	if err != nil {
+		return Status{}, err
+	}
+	return Status{raw: raw, vm: reply.VM, generation: reply.Generation, resources: reply.Resources}, nil
+}
+
+func bodyOf(documents []json.RawMessage) []byte {
+	if len(documents) == 0 {
+		return nil
+	}
+	parts := make([][]byte, 0, len(documents))
+	for _, d := range documents {
+		parts = append(parts, d)
+	}
+	return append(append([]byte{'['}, bytes.Join(parts, []byte{','})...), ']')
+}
+
+func resourcePath(kind, name string) string {
+	return "/v1/resources/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
+}
+
+func (c *Client) call(ctx context.Context, method, path string, query url.Values, change Change, body []byte, into any) (json.RawMessage, error) {
+	target := c.address + path
+	if len(query) > 0 {
+		target += "?" + query.Encode()
+	}
+	request, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Errorf("make request: %w", err)
+	}
+	setHeaders(request.Header, c.token, change)
+	answer, err := c.client.Do(request)
+	if err != nil {
+		return nil, ErrNoAnswer{operation: change.key, cause: err}
+	}
+	defer func() { _ = answer.Body.Close() }()
+	raw, err := io.ReadAll(io.LimitReader(answer.Body, maxReply))
+	if err != nil {
+		return nil, ErrNoAnswer{operation: change.key, cause: err}
+	}
+	if answer.StatusCode != http.StatusOK {
+		return nil, refusalOf(answer.StatusCode, raw)
+	}
+	if err := json.Unmarshal(raw, into); err != nil {
+		return nil, ErrNoAnswer{operation: change.key, cause: errors.Errorf("decode reply: %w", err)}
+	}
+	return raw, nil
+}
+
+func setHeaders(header http.Header, token string, change Change) {
+	if token != "" {
+		header.Set("Authorization", "Bearer "+token)
+	}
+	if change.key != "" {
+		header.Set("Idempotency-Key", change.key)
+	}
+	if change.expected != "" {
+		header.Set("If-Match", change.expected)
+	}
+}
--- a/tests/script_test.go
+++ b/tests/script_test.go
@@ -45,6 +45,7 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"waitfor": waitFor,
 			"expand":  expand,
+			"readenv": readEnv,
 		},
 	})
 }
@@ -156,3 +157,11 @@
 		script.Check(os.WriteFile(path, []byte(strings.TrimSpace(text)+"\n"), 0o600))
 	}
 }
+
+// readEnv sets a variable to the text of a file: readenv NAME FILE.
+func readEnv(script *testscript.TestScript, negated bool, arguments []string) {
+	if negated || len(arguments) != 2 {
+		script.Fatalf("usage: readenv NAME FILE")
+	}
+	script.Setenv(arguments[0], strings.TrimSpace(script.ReadFile(arguments[1])))
+}
