--- a/internal/codec/brdocument/spec_test.go
+++ b/internal/codec/brdocument/spec_test.go
@@ -6,6 +6,8 @@
 	"github.com/stretchr/testify/require"
 
 	"bergamotroad.example/bergamotroad/internal/codec/brdocument"
+	"bergamotroad.example/bergamotroad/internal/decide/brcheck"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
 )
 
 const everyNewKind = `[
@@ -31,7 +33,7 @@
 	}
 }
 
-// What is decoded must encode, and mean the same when it is decoded again.
+// What is decoded and well formed must encode, and mean the same when it is decoded again.
 func FuzzDecodeResources(f *testing.F) {
 	f.Add([]byte(everyNewKind))
 	f.Add([]byte(`{"kind":"contract","name":"c","spec":{"organisation":"o","unit":"u","rate":"1e999999999","period":"1s","burst":"1"}}`))
@@ -42,6 +44,9 @@
 			return
 		}
 		for _, r := range resources {
+			if brcheck.Changes([]brconfig.Change{brconfig.Put(r)}) != nil {
+				continue
+			}
 			encoded, err := brdocument.EncodeResource(r)
 			require.NoError(t, err)
 			again, err := brdocument.DecodeResources(encoded)
