--- a/internal/peer/broperator/poison.go
+++ b/internal/peer/broperator/poison.go
@@ -38,38 +38,44 @@
 // ServePoison adds the routes by which operators list and lift refusals. It is
 // called before the front end serves.
 func ServePoison[R Refusal](h *Handler, poisoning Poisoning[R]) error {
-	h.app.Get("/v1/poison", func(ctx iris.Context) { listPoison(ctx, poisoning) })
-	h.app.Delete("/v1/poison/{fingerprint}", func(ctx iris.Context) { liftPoison(ctx, poisoning) })
+	h.register(route{
+		method: http.MethodGet, path: "/v1/poison", summary: "List the requests that are refused because servers die of them",
+		handle: func(ctx iris.Context) error { return listPoison(ctx, poisoning) },
+	})
+	h.register(route{
+		method: http.MethodDelete, path: "/v1/poison/{fingerprint}", summary: "Lift a refusal on all VMs",
+		handle: func(ctx iris.Context) error { return liftPoison(ctx, poisoning) },
+	})
 	return h.app.RefreshRouter()
 }
 
-func listPoison[R Refusal](ctx iris.Context, poisoning Poisoning[R]) {
+func listPoison[R Refusal](ctx iris.Context, poisoning Poisoning[R]) error {
 	refusals, err := poisoning.Refusals(ctx.Request().Context())
 	if err != nil {
-		fail(ctx, http.StatusServiceUnavailable, err)
-		return
+		return unavailable(err)
 	}
 	reply := refusalsReply{Refusals: []refusalReply{}}
 	for _, r := range refusals {
 		reply.Refusals = append(reply.Refusals, refusalReply{Fingerprint: r.Fingerprint().String(), Until: r.Until()})
 	}
-	_ = ctx.JSON(reply)
+	return ctx.JSON(reply)
 }
 
-func liftPoison[R Refusal](ctx iris.Context, poisoning Poisoning[R]) {
+func liftPoison[R Refusal](ctx iris.Context, poisoning Poisoning[R]) error {
+	if !principalOf(ctx).CanOperate() {
+		return ErrRequest{status: http.StatusForbidden, reason: "editors and administrators of the platform only"}
+	}
 	fingerprint, err := brrequest.ParseFingerprint(ctx.Params().Get("fingerprint"))
 	if err != nil {
-		fail(ctx, http.StatusBadRequest, err)
-		return
+		return badRequest(err.Error())
 	}
 	lifted, err := poisoning.Lift(ctx.Request().Context(), fingerprint)
 	if err != nil {
-		fail(ctx, http.StatusServiceUnavailable, err)
-		return
+		return unavailable(err)
 	}
 	if !lifted {
-		ctx.StatusCode(http.StatusNotFound)
-		return
+		return ErrRequest{status: http.StatusNotFound, reason: "this VM does not refuse " + fingerprint.String()}
 	}
 	ctx.StatusCode(http.StatusNoContent)
+	return nil
 }
--- a/internal/service/brnode/duties.go
+++ b/internal/service/brnode/duties.go
@@ -13,6 +13,7 @@
 		n.spreading.Duty(),
 		n.revoking.Duty(),
 		n.polling.Duty(),
+		n.writing.Duty(),
 		n.spread.following.Duty(),
 		n.spread.membership.Duty(),
 		n.spread.archiving.Duty(),
--- a/internal/service/brnode/node.go
+++ b/internal/service/brnode/node.go
@@ -22,6 +22,7 @@
 	"bergamotroad.example/bergamotroad/internal/duty/brspreading"
 	"bergamotroad.example/bergamotroad/internal/duty/brsteering"
 	"bergamotroad.example/bergamotroad/internal/duty/brtimeline"
+	"bergamotroad.example/bergamotroad/internal/duty/brwriting"
 	"bergamotroad.example/bergamotroad/internal/model/brevent"
 	"bergamotroad.example/bergamotroad/internal/service/brsettings"
 )
@@ -38,6 +39,7 @@
 	spreading *brspreading.Spreading
 	revoking  *brrevoking.Revoking
 	polling   *brpolling.Polling
+	writing   *brwriting.Writing
 	requests  requestDuties
 	shares    shares
 	spread    spread
@@ -59,6 +61,8 @@
 	n.spreading.SubscribeConfirmed(n.revoking)
 	n.spreading.Subscribe(n.balancing.Snapshots())
 	n.spreading.Subscribe(n.steering.Snapshots())
+	n.writing = brwriting.New(clock)
+	n.spreading.Subscribe(n.writing.Snapshots())
 	n.requests = newRequestDuties(settings, clock, n.timeline)
 	n.requests.subscribe(n.spreading)
 	n.addShares()
