Prove the fates, whole answers and the crossing to other domains

Cause: the new way of a request had no proof.

Change: a property test drives the real dispatcher through 6,000 schedules that break before, in and after each attempt and lose forwarded requests and their answers, and counts runs by request. The callers' front is checked over HTTP/1.1 and HTTP/2 for streamed parts, trailers, early and empty answers, forged fields and cut answers; the crossing for what it passes on and for each break.

--- /dev/null
+++ b/internal/peer/brcaller/whole_test.go
@@ -0,0 +1,210 @@
+package brcaller_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brlocation"
+	"bergamotroad.example/bergamotroad/internal/model/brmessage"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+	"bergamotroad.example/bergamotroad/internal/peer/brbackend"
+	"bergamotroad.example/bergamotroad/internal/peer/brcaller"
+	"bergamotroad.example/bergamotroad/internal/service/brdispatch"
+	"bergamotroad.example/bergamotroad/internal/standin/brbreaking"
+)
+
+// oneServer sends everything to one backend server, by the system's own client
+// and front end.
+type oneServer struct {
+	client *brbackend.Client
+	server brconfig.Server
+}
+
+func (o *oneServer) Locate(context.Context, netip.Addr) (brlocation.Answer, error) {
+	return brlocation.Answer{}, nil
+}
+
+func (o *oneServer) Dispatch(ctx context.Context, _ brrequest.Request, call brmessage.Call, writer brdispatch.Writer) brdispatch.Result {
+	answer, err := o.client.Send(ctx, o.server, call)
+	if err != nil {
+		return brdispatch.NewResult(brrequest.FateUnknown, brrequest.ReasonServerFailed, 0)
+	}
+	defer func() { _ = answer.Close() }()
+	_ = writer.WriteHead(answer.Status(), answer.Fields())
+	if _, err := io.Copy(struct{ io.Writer }{writer}, answer.Body()); err != nil {
+		return brdispatch.NewResult(brrequest.FateRan, brrequest.ReasonServerFailed, 0).WithStarted(false)
+	}
+	_ = writer.WriteTrailers(answer.Trailers())
+	return brdispatch.NewResult(brrequest.FateRan, brrequest.ReasonNone, 0).WithStarted(true)
+}
+
+func startFront(t *testing.T, address string) *httptest.Server {
+	t.Helper()
+	server := brconfig.NewServer(brconfig.NewMeta("lookup-1"), "lookup", "este-a", address, 3)
+	o := &oneServer{client: brbackend.NewClient(brbackend.NewTransport()), server: server}
+	handler, err := brcaller.NewHandler(brclock.NewSystem(), o, o)
+	require.NoError(t, err)
+	front := httptest.NewUnstartedServer(handler)
+	front.Config.Protocols = &http.Protocols{}
+	front.Config.Protocols.SetHTTP1(true)
+	front.Config.Protocols.SetUnencryptedHTTP2(true)
+	front.Start()
+	t.Cleanup(front.Close)
+	return front
+}
+
+// clients are callers of each version of HTTP.
+func clients() map[string]*http.Client {
+	second := &http.Transport{Protocols: &http.Protocols{}}
+	second.Protocols.SetUnencryptedHTTP2(true)
+	return map[string]*http.Client{
+		"HTTP/1.1": {Transport: &http.Transport{DisableCompression: true}},
+		"HTTP/2":   {Transport: second},
+	}
+}
+
+func eachVersion(t *testing.T, backend http.HandlerFunc, check func(t *testing.T, client *http.Client, url string)) {
+	server := httptest.NewServer(backend)
+	t.Cleanup(server.Close)
+	front := startFront(t, strings.TrimPrefix(server.URL, "http://"))
+	for version, client := range clients() {
+		t.Run(version, func(t *testing.T) { check(t, client, front.URL) })
+	}
+}
+
+func TestPartsArriveAsTheyAreSent(t *testing.T) {
+	next := make(chan struct{})
+	backend := func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "first\n")
+		_ = http.NewResponseController(w).Flush()
+		<-next
+		_, _ = io.WriteString(w, "second\n")
+		w.Header().Set(http.TrailerPrefix+"Checksum", "7")
+	}
+	eachVersion(t, backend, func(t *testing.T, client *http.Client, url string) {
+		response, err := client.Get(url + "/extract")
+		require.NoError(t, err)
+		reader := bufio.NewReader(response.Body)
+		line, err := reader.ReadString('\n')
+		require.NoError(t, err)
+		require.Equal(t, "first\n", line)
+		next <- struct{}{}
+		rest, err := io.ReadAll(reader)
+		require.NoError(t, err)
+		require.Equal(t, "second\n", string(rest))
+		require.Equal(t, "7", response.Trailer.Get("Checksum"))
+	})
+}
+
+func TestAnswersWithoutBody(t *testing.T) {
+	backend := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Etag", "7")
+		switch r.URL.Path {
+		case "/204":
+			w.WriteHeader(http.StatusNoContent)
+		case "/304":
+			w.WriteHeader(http.StatusNotModified)
+		default:
+			w.Header().Set("Content-Length", "12")
+		}
+	}
+	eachVersion(t, backend, func(t *testing.T, client *http.Client, url string) {
+		for path, status := range map[string]int{"/204": 204, "/304": 304, "/head": 200} {
+			response, err := client.Head(url + path)
+			require.NoError(t, err)
+			require.Equal(t, status, response.StatusCode)
+			require.Equal(t, "7", response.Header.Get("Etag"))
+			require.Equal(t, "ran", response.Header.Get(brcaller.FieldFate))
+			if path != "/head" {
+				response, err = client.Get(url + path)
+				require.NoError(t, err)
+				_, err = io.ReadAll(response.Body)
+				require.NoError(t, err)
+			}
+		}
+	})
+}
+
+func TestFieldsOfOneConnectionAndOfTheSystemStay(t *testing.T) {
+	backend := func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Connection", "X-Private")
+		w.Header().Set("X-Private", "1")
+		w.Header().Set("Content-Encoding", "gzip")
+		w.Header().Set(brcaller.FieldFate, "not-run")
+		w.Header().Set(brcaller.FieldReason, "forged")
+		_, _ = fmt.Fprintf(w, "%q %q %q", r.Header.Get("Bergamotroad-Organisation"), r.Header.Get("Authorization"), r.Header.Get("Expect"))
+	}
+	eachVersion(t, backend, func(t *testing.T, client *http.Client, url string) {
+		request, err := http.NewRequest(http.MethodPost, url+"/", strings.NewReader("body"))
+		require.NoError(t, err)
+		request.Header.Set("Bergamotroad-Organisation", "forged")
+		request.Header.Set("Authorization", "Bearer secret")
+		request.Header.Set("Expect", "100-continue")
+		request.Header.Set("Accept-Encoding", "gzip")
+		response, err := client.Do(request)
+		require.NoError(t, err)
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		require.Equal(t, `"" "" ""`, string(body))
+		require.Equal(t, "gzip", response.Header.Get("Content-Encoding"))
+		require.Equal(t, "ran", response.Header.Get(brcaller.FieldFate))
+		require.Empty(t, response.Header.Get(brcaller.FieldReason))
+		require.Empty(t, response.Header.Get("X-Private"))
+	})
+}
+
+// The answer comes although the caller has not sent its whole request.
+func TestEarlyAnswerArrives(t *testing.T) {
+	backend := func(w http.ResponseWriter, _ *http.Request) {
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	}
+	eachVersion(t, backend, func(t *testing.T, client *http.Client, url string) {
+		reader, writer := io.Pipe()
+		t.Cleanup(func() { _ = writer.Close() })
+		response, err := client.Post(url+"/", "text/plain", reader)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusRequestEntityTooLarge, response.StatusCode)
+	})
+}
+
+func TestCutAnswerIsCutForTheCaller(t *testing.T) {
+	for _, point := range []brbreaking.Point{brbreaking.Midbody, brbreaking.Midchunk, brbreaking.Unmarked} {
+		server, err := brbreaking.Start(point)
+		require.NoError(t, err)
+		t.Cleanup(server.Close)
+		front := startFront(t, server.Address())
+		for version, client := range clients() {
+			response, err := client.Get(front.URL + "/")
+			if err == nil {
+				_, err = io.ReadAll(response.Body)
+			}
+			require.Error(t, err, "point %d over %s", point, version)
+		}
+	}
+}
+
+func TestUnsupportedRequestsAreRefused(t *testing.T) {
+	front := startFront(t, "127.0.0.1:0")
+	for _, method := range []string{http.MethodTrace, http.MethodGet} {
+		request, err := http.NewRequest(method, front.URL+"/", nil)
+		require.NoError(t, err)
+		request.Header.Set("Connection", "Upgrade")
+		request.Header.Set("Upgrade", "websocket")
+		response, err := front.Client().Do(request)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusNotImplemented, response.StatusCode)
+		require.Equal(t, "not-run", response.Header.Get(brcaller.FieldFate))
+	}
+}
--- /dev/null
+++ b/internal/peer/brentry/forward_test.go
@@ -0,0 +1,140 @@
+package brentry_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brmessage"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+	"bergamotroad.example/bergamotroad/internal/peer/brbackend"
+	"bergamotroad.example/bergamotroad/internal/peer/brentry"
+	"bergamotroad.example/bergamotroad/internal/service/brdispatch"
+	"bergamotroad.example/bergamotroad/internal/standin/brbreaking"
+)
+
+// receiver is the other VM: it answers as it is told.
+type receiver struct {
+	request brrequest.Request
+	verdict brrequest.Verdict
+	fields  brmessage.Fields
+	target  string
+	body    string
+	receive func(ctx context.Context, writer brdispatch.Writer) brdispatch.Result
+}
+
+func (r *receiver) Receive(ctx context.Context, request brrequest.Request, verdict brrequest.Verdict, call brmessage.Call, writer brdispatch.Writer) brdispatch.Result {
+	r.request = request
+	r.verdict = verdict
+	r.fields = call.Fields()
+	r.target = call.Target()
+	body, _ := io.ReadAll(call.Body())
+	r.body = string(body)
+	return r.receive(ctx, writer)
+}
+
+func forward(t *testing.T, r *receiver) (*brmessage.Answer, error) {
+	t.Helper()
+	front := httptest.NewServer(brentry.WithForwarding(http.NotFoundHandler(), brclock.NewSystem(), r))
+	t.Cleanup(front.Close)
+	return forwardTo(t, strings.TrimPrefix(front.URL, "http://"))
+}
+
+func forwardTo(t *testing.T, address string) (*brmessage.Answer, error) {
+	t.Helper()
+	route := brconfig.NewRoute(brconfig.NewMeta("entries"), "ledger", "/entries").
+		WithRepeat(brconfig.RepeatAny).WithTimeout(9 * time.Second)
+	verdict := brrequest.Admit("taller-norte", route, 7).WithWeight(3)
+	fields := brmessage.NewFields(map[string][]string{"Bergamotroad-Timeout": {"5000"}, "Accept": {"text/plain"}})
+	call := brmessage.NewCall("POST", "/a%2Fb//c?x=1", fields, strings.NewReader("body"), 4)
+	forwarder := brentry.NewForwarder(brbackend.NewClient(brbackend.NewTransport()))
+	return forwarder.Forward(t.Context(), brrequest.NewTarget("este-b", "vm-2", address), brrequest.New("id-1", "POST", "/", netip.Addr{}), verdict, call)
+}
+
+func TestForwardedRequestKeepsWhatWasDecided(t *testing.T) {
+	r := &receiver{receive: func(_ context.Context, writer brdispatch.Writer) brdispatch.Result {
+		_ = writer.WriteHead(201, brmessage.NewFields(map[string][]string{"Etag": {"7"}}))
+		_, _ = writer.Write([]byte("answer"))
+		_ = writer.WriteTrailers(brmessage.NewFields(map[string][]string{"Checksum": {"9"}}))
+		return brdispatch.NewResult(brrequest.FateRan, brrequest.ReasonNone, 0).WithStarted(true)
+	}}
+	answer, err := forward(t, r)
+	require.NoError(t, err)
+	body, err := io.ReadAll(answer.Body())
+	require.NoError(t, err)
+	require.Equal(t, "answer", string(body))
+	require.Equal(t, 201, answer.Status())
+	require.Equal(t, "7", answer.Fields().First("Etag"))
+	require.Equal(t, "9", answer.Trailers().First("Checksum"))
+	require.Empty(t, answer.Fields().First("Bergamotroad-Fate"))
+	require.Equal(t, "id-1", r.request.ID())
+	require.False(t, r.request.Deadline().IsZero())
+	require.Equal(t, "taller-norte", r.verdict.Organisation())
+	require.Equal(t, 3, r.verdict.Weight())
+	require.Equal(t, uint64(7), r.verdict.Generation())
+	require.Equal(t, "ledger", r.verdict.Route().Service())
+	require.Equal(t, brconfig.RepeatAny, r.verdict.Route().Repeat())
+	require.Equal(t, 9*time.Second, r.verdict.Route().Timeout())
+	require.Equal(t, "/a%2Fb//c?x=1", r.target)
+	require.Equal(t, "body", r.body)
+	require.Empty(t, r.fields.First("Bergamotroad-Organisation"))
+	require.Equal(t, "text/plain", r.fields.First("Accept"))
+}
+
+func TestRefusalOfOtherVMKeepsItsReason(t *testing.T) {
+	r := &receiver{receive: func(context.Context, brdispatch.Writer) brdispatch.Result {
+		return brdispatch.NewResult(brrequest.FateNotRun, brrequest.ReasonNoServer, time.Second)
+	}}
+	_, err := forward(t, r)
+	require.True(t, brdispatch.IsErrRefused(err))
+	require.ErrorContains(t, err, string(brrequest.ReasonNoServer))
+}
+
+func TestUnknownStaysUnknownAcrossVMs(t *testing.T) {
+	r := &receiver{receive: func(context.Context, brdispatch.Writer) brdispatch.Result {
+		return brdispatch.NewResult(brrequest.FateUnknown, brrequest.ReasonServerFailed, 0)
+	}}
+	_, err := forward(t, r)
+	require.True(t, brbackend.IsErrOutcomeUnknown(err))
+}
+
+func TestCutAnswerStaysCutAcrossVMs(t *testing.T) {
+	r := &receiver{receive: func(_ context.Context, writer brdispatch.Writer) brdispatch.Result {
+		_ = writer.WriteHead(200, brmessage.NewFields(nil))
+		_, _ = writer.Write([]byte("half"))
+		return brdispatch.NewResult(brrequest.FateRan, brrequest.ReasonServerFailed, 0).WithStarted(false)
+	}}
+	answer, err := forward(t, r)
+	require.NoError(t, err)
+	_, err = io.ReadAll(answer.Body())
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+}
+
+// A broken connection to the other VM, or an answer that no VM gave, says
+// nothing of the fate.
+func TestBrokenVMIsUnknown(t *testing.T) {
+	for _, point := range []brbreaking.Point{brbreaking.Unread, brbreaking.Midrequest, brbreaking.Unanswered, brbreaking.Midhead, brbreaking.Shed} {
+		server, err := brbreaking.Start(point)
+		require.NoError(t, err)
+		_, err = forwardTo(t, server.Address())
+		require.True(t, brbackend.IsErrOutcomeUnknown(err), "point %d: %v", point, err)
+		server.Close()
+	}
+}
+
+func TestUnreachableVMIsNotSent(t *testing.T) {
+	server, err := brbreaking.Start(brbreaking.Whole)
+	require.NoError(t, err)
+	server.Close()
+	_, err = forwardTo(t, server.Address())
+	require.True(t, brbackend.IsErrNotSent(err))
+}
--- /dev/null
+++ b/internal/service/brdispatch/dispatcher_test.go
@@ -0,0 +1,110 @@
+package brdispatch_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brmessage"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+	_ "bergamotroad.example/bergamotroad/internal/standin/brseed"
+)
+
+// schedulesPerCheck multiplies the number of schedules of a property.
+const schedulesPerCheck = 30
+
+func callOf(id, target, body string, size int64) (brrequest.Request, brmessage.Call) {
+	fields := brmessage.NewFields(nil)
+	fields.Set("X-Request-Id", id)
+	var reader io.Reader
+	if body != "" {
+		reader = strings.NewReader(body)
+	}
+	return brrequest.New(id, "POST", target, netip.Addr{}), brmessage.NewCall("POST", target, fields, reader, size)
+}
+
+// Whatever breaks, a request of a route marked once runs at most once, what is
+// said not to have run did not run, what is said to have run did, and only a
+// whole answer is passed on as one.
+func TestFateIsTrue(t *testing.T) {
+	for _, repeat := range []brconfig.Repeat{brconfig.RepeatOnce, brconfig.RepeatAny} {
+		t.Run(string(repeat), func(t *testing.T) {
+			rapid.Check(t, func(t *rapid.T) { checkFate(t, repeat) })
+		})
+	}
+}
+
+func checkFate(t *rapid.T, repeat brconfig.Repeat) {
+	w, dispatcher := newWorld(t, rapid.IntRange(0, 4).Draw(t, "servers"), repeat)
+	for i := range schedulesPerCheck {
+		id := fmt.Sprint(i)
+		body := rapid.SampledFrom([]string{"", "cylinder 7", strings.Repeat("x", 20<<10)}).Draw(t, "body")
+		size := int64(len(body))
+		if body != "" && rapid.Bool().Draw(t, "chunked") {
+			size = -1
+		}
+		request, call := callOf(id, "/entries", body, size)
+		writer := &memoryWriter{}
+		result := dispatcher.Dispatch(context.Background(), request, call, writer)
+		runs := w.runs[id]
+		if repeat == brconfig.RepeatOnce {
+			require.LessOrEqual(t, runs, 1)
+		}
+		switch result.Fate() {
+		case brrequest.FateNotRun:
+			require.Zero(t, runs)
+		case brrequest.FateRan:
+			require.Positive(t, runs)
+		case brrequest.FateUnknown:
+		default:
+			require.Fail(t, "no fate", "%q", result.Fate())
+		}
+		require.LessOrEqual(t, writer.heads, 1)
+		require.Equal(t, result.Started(), writer.heads == 1)
+		if result.Whole() {
+			require.Equal(t, wholeAnswer, writer.body.String())
+		} else {
+			require.NotEqual(t, wholeAnswer, writer.body.String())
+		}
+		require.Zero(t, w.inFlight, "a slot was not given back")
+	}
+}
+
+// A request that kills each server costs two of them, also on a route whose
+// requests are repeated, and is then refused as not run.
+func TestPoisonCostsTwoServers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		repeat := rapid.SampledFrom([]brconfig.Repeat{brconfig.RepeatOnce, brconfig.RepeatAny}).Draw(t, "repeat")
+		w, dispatcher := newWorld(t, 12, repeat)
+		w.poison = "/entries/poison"
+		refused := 0
+		for i := range 100 {
+			request, call := callOf(fmt.Sprint(i), w.poison, "body", 4)
+			result := dispatcher.Dispatch(context.Background(), request, call, &memoryWriter{})
+			if result.Reason() == brrequest.ReasonPoison {
+				refused++
+			}
+		}
+		require.Len(t, w.dead, 2)
+		require.Greater(t, refused, 50)
+	})
+}
+
+func TestEachFateIsOnTheTimeLine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w, dispatcher := newWorld(t, 2, brconfig.RepeatOnce)
+		request, call := callOf("1", "/entries", "", 0)
+		result := dispatcher.Dispatch(context.Background(), request, call, &memoryWriter{})
+		last := w.events[len(w.events)-1]
+		fate := last.Details().Get("fate").OrElse("")
+		require.Equal(t, string(result.Fate()), fate)
+		require.Equal(t, "1", last.Request())
+	})
+}
--- a/internal/service/brdispatch/result.go
+++ b/internal/service/brdispatch/result.go
@@ -33,3 +33,17 @@
 
 // Whole reports whether the whole answer was written.
 func (r Result) Whole() bool { return r.whole }
+
+// NewResult returns the result of a request without an answer, and after what
+// time another try makes sense; 0 says nothing of that.
+func NewResult(fate brrequest.Fate, reason brrequest.Reason, retryAfter time.Duration) Result {
+	return Result{fate: fate, reason: reason, retryAfter: retryAfter}
+}
+
+// WithStarted returns the result of a request whose answer was begun, and
+// whether it was written whole.
+func (r Result) WithStarted(whole bool) Result {
+	r.started = true
+	r.whole = whole
+	return r
+}
