--- /dev/null
+++ b/internal/service/brnode/duties.go
@@ -0,0 +1,21 @@
+package brnode
+
+import (
+	"bergamotroad.example/bergamotroad/internal/core/brduty"
+)
+
+func (n *Node) duties() []brduty.Runner {
+	return append(n.requests.duties(),
+		n.timeline.Duty(),
+		n.admission.Duty(),
+		n.balancing.Duty(),
+		n.steering.Duty(),
+		n.spreading.Duty(),
+		n.polling.Duty(),
+		n.spread.following.Duty(),
+		n.spread.membership.Duty(),
+		n.spread.archiving.Duty(),
+		n.shares.tenancy.Duty(),
+		n.shares.lending.Duty(),
+	)
+}
