Choose servers by what this VM has seen of them

Cause: the server with the fewest requests in flight won, whether dead, slow or failing, and each VM took all slots of a server for its own.

Change: slots are divided among the entry VMs of the failure domain; a VM goes beyond its share while the server takes it. The policy is a type parameter.

Conclusion: least loaded is used; two choices and round robin stay as policies.

--- a/internal/decide/brbalance/balancer.go
+++ b/internal/decide/brbalance/balancer.go
@@ -1,19 +1,28 @@
 // Package brbalance decides which backend server runs a request.
 //
-// A server's slots are divided among the VMs of its own failure domain, so
-// that their sum is no more than the slots. Among servers with a free slot the
-// one with the fewest requests in flight wins.
+// A server's slots are divided among the entry VMs of its failure domain. A VM
+// goes beyond its share step by step while the server takes it, and back to it
+// when the server sheds.
+//
+// What this VM has seen of a server counts: requests in flight, latency,
+// faults. One that fails is ejected for a while and comes back by single
+// probes; a cold one starts with a part of its slots. No more than a part of a service is ever ejected, so that
+// a misleading signal can't empty it. What servers say of their own health or
+// load is not asked for.
+//
+// The policy that chooses among the servers with a free slot is a type parameter.
 //
 // # Usage
 //
-//	balancer := brbalance.NewBalancer("montevideo-a")
-//	balancer.Update(snapshot)
-//	server, ok := balancer.Pick(brrequest.NewPlacement("lookup", "taller-norte")).Get()
-//	balancer.Release(brrequest.NewOutcome(server.Name(), brrequest.OutcomeAnswered, latency))
+//	balancer := brbalance.NewBalancer[brbalance.LeastLoaded]("vm-1", "montevideo-a", seed)
+//	balancer.Update(now, snapshot)
+//	server, ok := balancer.Pick(now, brrequest.NewPlacement("lookup", "taller-norte")).Get()
+//	balancer.Release(now, brrequest.NewOutcome(server.Name(), brrequest.OutcomeAnswered, latency))
 package brbalance
 
 import (
-	"slices"
+	"math/rand/v2"
+	"time"
 
 	"bergamotroad.example/bergamotroad/internal/core/broption"
 	"bergamotroad.example/bergamotroad/internal/model/brconfig"
@@ -22,57 +31,75 @@
 
 // Balancer knows the backend servers of one failure domain and what runs on
 // them for this VM. It has one owner.
-type Balancer struct {
+type Balancer[P Policy] struct {
+	vm       string
 	domain   string
-	services map[string][]*candidate
+	policy   P
+	random   *rand.Rand
+	services map[string]*service
 	servers  map[string]*candidate
+	free     []*candidate // scratch of Pick
 }
 
-type candidate struct {
-	server   brconfig.Server
-	inFlight int
-	listed   bool
+// service holds the listed servers of one service.
+type service struct {
+	candidates []*candidate
+	turn       int
 }
 
-// NewBalancer returns a balancer for the servers of a failure domain.
-func NewBalancer(domain string) *Balancer {
-	return &Balancer{domain: domain, servers: map[string]*candidate{}}
+// NewBalancer returns the balancer of a VM for the servers of its failure domain.
+func NewBalancer[P Policy](vm, domain string, seed uint64) *Balancer[P] {
+	return &Balancer[P]{
+		vm:       vm,
+		domain:   domain,
+		random:   rand.New(rand.NewPCG(seed, seed)),
+		services: map[string]*service{},
+		servers:  map[string]*candidate{},
+	}
 }
 
-// Update takes the servers of a snapshot. Requests in flight are kept in mind.
-func (b *Balancer) Update(snapshot *brconfig.Snapshot) {
+// Update takes the servers of a snapshot. What is known of them is kept.
+func (b *Balancer[P]) Update(_ time.Time, snapshot *brconfig.Snapshot) {
 	for _, c := range b.servers {
 		c.listed = false
 	}
-	b.services = map[string][]*candidate{}
+	b.services = map[string]*service{}
 	for s := range snapshot.Servers().All() {
 		if s.Domain() == b.domain {
 			b.list(s)
 		}
 	}
-	b.forgetUnlisted()
+	b.divide(vmsOf(snapshot, b.domain))
+	for name, c := range b.servers {
+		if !c.listed && c.inFlight == 0 {
+			delete(b.servers, name)
+		}
+	}
 }
 
 // Pick takes a slot of a server that suits the placement, if one is free.
-func (b *Balancer) Pick(placement brrequest.Placement) broption.Option[brconfig.Server] {
-	var best *candidate
-	for _, c := range b.services[placement.Service()] {
-		if !c.available() || placement.Avoids(c.server.Name()) {
-			continue
-		}
-		if best == nil || c.inFlight < best.inFlight {
-			best = c
+func (b *Balancer[P]) Pick(now time.Time, placement brrequest.Placement) broption.Option[brconfig.Server] {
+	s, ok := b.services[placement.Service()]
+	if !ok {
+		return broption.None[brconfig.Server]()
+	}
+	b.free = b.free[:0]
+	for _, c := range s.candidates {
+		if c.available(now) && !placement.Avoids(c.server.Name()) {
+			b.free = append(b.free, c)
 		}
 	}
-	if best == nil {
+	if len(b.free) == 0 {
 		return broption.None[brconfig.Server]()
 	}
+	s.turn++
+	best := b.policy.choose(b.free, b.random, s.turn)
 	best.inFlight++
 	return broption.Some(best.server)
 }
 
-// Release gives back the slot of a request that has ended.
-func (b *Balancer) Release(outcome brrequest.Outcome) {
+// Release gives back the slot of a request that has ended, and learns from its outcome.
+func (b *Balancer[P]) Release(now time.Time, outcome brrequest.Outcome) {
 	c, ok := b.servers[outcome.Server()]
 	if !ok {
 		return
@@ -80,11 +107,16 @@
 	c.inFlight = max(c.inFlight-1, 0)
 	if c.inFlight == 0 && !c.listed {
 		delete(b.servers, outcome.Server())
+		return
+	}
+	c.learn(now, outcome)
+	if c.failing() && b.mayEject(now, c) {
+		c.eject(now)
 	}
 }
 
 // InFlight returns the number of requests that run on a server for this VM.
-func (b *Balancer) InFlight(server string) int {
+func (b *Balancer[P]) InFlight(server string) int {
 	c, ok := b.servers[server]
 	if !ok {
 		return 0
@@ -92,30 +124,47 @@
 	return c.inFlight
 }
 
-func (b *Balancer) list(s brconfig.Server) {
-	c, ok := b.servers[s.Name()]
+// Ejected returns how many servers of a service get no requests but probes.
+func (b *Balancer[P]) Ejected(service string) int {
+	s, ok := b.services[service]
 	if !ok {
-		c = &candidate{}
-		b.servers[s.Name()] = c
+		return 0
 	}
-	c.server = s
-	c.listed = true
-	b.services[s.Service()] = append(b.services[s.Service()], c)
+	ejected := 0
+	for _, c := range s.candidates {
+		if c.ejected {
+			ejected++
+		}
+	}
+	return ejected
 }
 
-func (b *Balancer) forgetUnlisted() {
-	names := []string{}
-	for name, c := range b.servers {
-		if !c.listed && c.inFlight == 0 {
-			names = append(names, name)
-		}
+// mayEject reports whether one more server of a service may be ejected.
+func (b *Balancer[P]) mayEject(now time.Time, c *candidate) bool {
+	if c.ejected {
+		// A probe failed: nothing more is taken from the service.
+		return !c.pausedAt(now)
 	}
-	slices.Sort(names)
-	for _, name := range names {
-		delete(b.servers, name)
+	s, ok := b.services[c.server.Service()]
+	if !ok {
+		return false
 	}
+	most := max(len(s.candidates)*maxEjectedPercent/100, 1)
+	return b.Ejected(c.server.Service()) < min(most, len(s.candidates)-1)
 }
 
-func (c *candidate) available() bool {
-	return c.server.State() == brconfig.ServerServing && c.inFlight < c.server.Slots()
+func (b *Balancer[P]) list(server brconfig.Server) {
+	c, ok := b.servers[server.Name()]
+	if !ok || c.server.Address() != server.Address() || c.server.Version() != server.Version() {
+		c = newCandidate(server, c)
+		b.servers[server.Name()] = c
+	}
+	c.server = server
+	c.listed = true
+	s, ok := b.services[server.Service()]
+	if !ok {
+		s = &service{}
+		b.services[server.Service()] = s
+	}
+	s.candidates = append(s.candidates, c)
 }
--- /dev/null
+++ b/internal/decide/brbalance/experiment_test.go
@@ -0,0 +1,340 @@
+package brbalance_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bergamotroad.example/bergamotroad/internal/core/broption"
+	"bergamotroad.example/bergamotroad/internal/decide/brbalance"
+	"bergamotroad.example/bergamotroad/internal/decide/brretry"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+)
+
+// The experiment: three VMs send to twelve servers of three slots each, of
+// which one is slow, one dead and one lies: it fails at once.
+const (
+	experimentVMs     = 3
+	experimentServers = 12
+	experimentSlots   = 3
+	serviceTime       = 20 * time.Millisecond
+	slowFactor        = 10
+	experimentTime    = 60 * time.Second
+	warmUp            = 5 * time.Second
+	longestWait       = 50 * time.Millisecond
+)
+
+var experimentStart = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+// chooser is a balancer or the baseline.
+type chooser interface {
+	Pick(now time.Time, placement brrequest.Placement) broption.Option[brconfig.Server]
+	Release(now time.Time, outcome brrequest.Outcome)
+}
+
+// plainRoundRobin knows nothing of servers but their order.
+type plainRoundRobin struct {
+	servers []brconfig.Server
+	turn    int
+}
+
+func (p *plainRoundRobin) Pick(_ time.Time, placement brrequest.Placement) broption.Option[brconfig.Server] {
+	for range p.servers {
+		p.turn++
+		server := p.servers[p.turn%len(p.servers)]
+		if !placement.Avoids(server.Name()) {
+			return broption.Some(server)
+		}
+	}
+	return broption.None[brconfig.Server]()
+}
+
+func (*plainRoundRobin) Release(time.Time, brrequest.Outcome) {}
+
+// backend is the truth about a server.
+type backend struct {
+	running int
+	dead    bool
+	lies    bool
+	factor  time.Duration
+}
+
+type experiment struct {
+	random   *rand.Rand
+	now      time.Time
+	queue    steps
+	choosers []chooser
+	budgets  []*brretry.Budget
+	waiting  [][]waiter
+	patience time.Duration
+	backends map[string]*backend
+
+	latencies []time.Duration
+	offered   int
+	good      int
+	failed    int
+	refused   int
+	sent      int
+}
+
+// waiter is a request that found no free slot. The experiment's queue is a
+// plain one; it stands for that of the system.
+type waiter struct {
+	arrived   time.Time
+	attempt   int
+	placement brrequest.Placement
+}
+
+type step struct {
+	at  time.Time
+	run func()
+}
+
+type steps []step
+
+func (s steps) Len() int           { return len(s) }
+func (s steps) Less(i, j int) bool { return s[i].at.Before(s[j].at) }
+func (s steps) Swap(i, j int)      { s[i], s[j] = s[j], s[i] }
+func (s *steps) Push(x any)        { *s = append(*s, x.(step)) }
+func (s *steps) Pop() any {
+	last := (*s)[len(*s)-1]
+	*s = (*s)[:len(*s)-1]
+	return last
+}
+
+func serversOf(t testing.TB, count int) (*brconfig.Snapshot, []brconfig.Server) {
+	t.Helper()
+	servers := []brconfig.Server{}
+	changes := []brconfig.Change{
+		brconfig.Put(brconfig.NewRegion(brconfig.NewMeta("este"))),
+		brconfig.Put(brconfig.NewDomain(brconfig.NewMeta("este-a"), "este")),
+		brconfig.Put(brconfig.NewSite(brconfig.NewMeta("este-a"), "este-a")),
+		brconfig.Put(brconfig.NewService(brconfig.NewMeta("lookup"))),
+	}
+	for i := range experimentVMs {
+		changes = append(changes, brconfig.Put(brconfig.NewVM(brconfig.NewMeta(fmt.Sprint("vm-", i)), "este-a", "", "")))
+	}
+	for i := range count {
+		s := brconfig.NewServer(brconfig.NewMeta(fmt.Sprintf("s%02d", i)), "lookup", "este-a", "", experimentSlots)
+		servers = append(servers, s)
+		changes = append(changes, brconfig.Put(s))
+	}
+	snapshot, err := brconfig.NewSnapshot().Apply(1, changes)
+	require.NoError(t, err)
+	return snapshot, servers
+}
+
+func balancerOf[P brbalance.Policy](snapshot *brconfig.Snapshot, seed uint64) chooser {
+	b := brbalance.NewBalancer[P](fmt.Sprint("vm-", seed%experimentVMs), "este-a", seed)
+	b.Update(experimentStart, snapshot)
+	return b
+}
+
+func newExperiment(t testing.TB, seed uint64, build func(seed uint64, snapshot *brconfig.Snapshot, servers []brconfig.Server) chooser, harm func(map[string]*backend)) *experiment {
+	e := &experiment{random: rand.New(rand.NewPCG(seed, 1)), now: experimentStart, backends: map[string]*backend{}}
+	snapshot, servers := serversOf(t, experimentServers)
+	for _, s := range servers {
+		e.backends[s.Name()] = &backend{factor: 1}
+	}
+	harm(e.backends)
+	for i := range experimentVMs {
+		e.choosers = append(e.choosers, build(seed+uint64(i), snapshot, servers))
+		e.budgets = append(e.budgets, brretry.NewBudget())
+		e.waiting = append(e.waiting, nil)
+	}
+	return e
+}
+
+// run offers requests at a rate and returns after the experiment's time.
+func (e *experiment) run(perSecond float64) {
+	end := experimentStart.Add(experimentTime)
+	var arrive func()
+	arrive = func() {
+		e.arrive()
+		next := e.now.Add(time.Duration(e.random.ExpFloat64() / perSecond * float64(time.Second)))
+		if next.Before(end) {
+			heap.Push(&e.queue, step{at: next, run: arrive})
+		}
+	}
+	heap.Push(&e.queue, step{at: e.now, run: arrive})
+	for e.queue.Len() > 0 {
+		next := heap.Pop(&e.queue).(step)
+		e.now = next.at
+		next.run()
+	}
+}
+
+func (e *experiment) counts() bool { return e.now.After(experimentStart.Add(warmUp)) }
+
+func (e *experiment) arrive() {
+	if e.counts() {
+		e.offered++
+	}
+	vm := e.random.IntN(experimentVMs)
+	e.budgets[vm].Earn("r")
+	e.try(vm, e.now, 1, brrequest.NewPlacement("lookup", ""))
+}
+
+func (e *experiment) try(vm int, arrived time.Time, attempt int, placement brrequest.Placement) {
+	server, ok := e.choosers[vm].Pick(e.now, placement).Get()
+	if !ok && e.now.Sub(arrived) < e.patience {
+		e.waiting[vm] = append(e.waiting[vm], waiter{arrived: arrived, attempt: attempt, placement: placement})
+		return
+	}
+	if !ok {
+		e.refuse()
+		return
+	}
+	e.send(vm, server, arrived, attempt, placement)
+}
+
+// wake gives free slots to those who wait, oldest first.
+func (e *experiment) wake(vm int) {
+	for len(e.waiting[vm]) > 0 {
+		w := e.waiting[vm][0]
+		if e.now.Sub(w.arrived) >= e.patience {
+			e.waiting[vm] = e.waiting[vm][1:]
+			e.refuse()
+			continue
+		}
+		server, ok := e.choosers[vm].Pick(e.now, w.placement).Get()
+		if !ok {
+			return
+		}
+		e.waiting[vm] = e.waiting[vm][1:]
+		e.send(vm, server, w.arrived, w.attempt, w.placement)
+	}
+}
+
+func (e *experiment) send(vm int, server brconfig.Server, arrived time.Time, attempt int, placement brrequest.Placement) {
+	if e.counts() {
+		e.sent++
+	}
+	b := e.backends[server.Name()]
+	took, kind := e.outcome(b)
+	heap.Push(&e.queue, step{at: e.now.Add(took), run: func() {
+		if kind == brrequest.OutcomeAnswered {
+			b.running--
+		}
+		e.choosers[vm].Release(e.now, brrequest.NewOutcome(server.Name(), kind, took))
+		e.end(vm, arrived, attempt, placement.Avoiding(server.Name()), kind)
+		e.wake(vm)
+	}})
+}
+
+func (e *experiment) outcome(b *backend) (time.Duration, brrequest.OutcomeKind) {
+	switch {
+	case b.dead:
+		return 500 * time.Microsecond, brrequest.OutcomeNotSent
+	case b.lies:
+		return time.Millisecond, brrequest.OutcomeFault
+	case b.running >= experimentSlots:
+		return 500 * time.Microsecond, brrequest.OutcomeShed
+	default:
+		b.running++
+		return b.factor * time.Duration((0.5+e.random.Float64())*float64(serviceTime)), brrequest.OutcomeAnswered
+	}
+}
+
+func (e *experiment) end(vm int, arrived time.Time, attempt int, placement brrequest.Placement, kind brrequest.OutcomeKind) {
+	switch kind {
+	case brrequest.OutcomeAnswered:
+		if e.counts() {
+			e.good++
+			e.latencies = append(e.latencies, e.now.Sub(arrived))
+		}
+	case brrequest.OutcomeFault:
+		if e.counts() {
+			e.failed++
+		}
+	default:
+		if attempt < brretry.MaxAttempts && e.budgets[vm].Spend("r") {
+			e.try(vm, arrived, attempt+1, placement)
+			return
+		}
+		e.refuse()
+	}
+}
+
+func (e *experiment) refuse() {
+	if e.counts() {
+		e.refused++
+	}
+}
+
+func (e *experiment) quantile(q float64) time.Duration {
+	slices.Sort(e.latencies)
+	if len(e.latencies) == 0 {
+		return 0
+	}
+	return e.latencies[int(q*float64(len(e.latencies)-1))]
+}
+
+// capacity is what the servers that work can run, in requests a second.
+const capacity = float64(experimentSlots) * (experimentServers - 3 + 1.0/slowFactor) / 0.02
+
+func slowDeadAndLying(backends map[string]*backend) {
+	backends["s00"].factor = slowFactor
+	backends["s01"].dead = true
+	backends["s02"].lies = true
+}
+
+var choosers = []struct {
+	name  string
+	build func(seed uint64, snapshot *brconfig.Snapshot, servers []brconfig.Server) chooser
+}{
+	{"plain round robin", func(_ uint64, _ *brconfig.Snapshot, servers []brconfig.Server) chooser {
+		return &plainRoundRobin{servers: servers}
+	}},
+	{"round robin, ejecting", func(seed uint64, s *brconfig.Snapshot, _ []brconfig.Server) chooser {
+		return balancerOf[brbalance.RoundRobin](s, seed)
+	}},
+	{"least loaded", func(seed uint64, s *brconfig.Snapshot, _ []brconfig.Server) chooser {
+		return balancerOf[brbalance.LeastLoaded](s, seed)
+	}},
+	{"two choices", func(seed uint64, s *brconfig.Snapshot, _ []brconfig.Server) chooser {
+		return balancerOf[brbalance.TwoChoices](s, seed)
+	}},
+}
+
+// Prints the table of docs/measurements/requests.md. Time is simulated and the
+// seed fixed, so that the figures do not depend on the machine.
+func TestExperimentSlowDeadAndLyingServer(t *testing.T) {
+	for _, load := range []float64{0.5, 0.9, 1.5} {
+		for _, c := range choosers {
+			e := newExperiment(t, 1, c.build, slowDeadAndLying)
+			e.patience = longestWait
+			e.run(load * capacity)
+			goodput := float64(e.good) / (experimentTime - warmUp).Seconds() / capacity
+			t.Logf("| %3.0f%% | %s | %s | %s | %.1f%% | %.2f%% | %.1f%% | %.1f%% |", 100*load, c.name,
+				e.quantile(0.5).Round(100*time.Microsecond), e.quantile(0.99).Round(100*time.Microsecond), 100*goodput,
+				100*float64(e.failed)/float64(e.offered), 100*float64(e.refused)/float64(e.offered), 100*float64(e.sent)/float64(e.offered)-100)
+			if c.name == "two choices" && load > 1 {
+				require.Greater(t, goodput, 0.95)
+			}
+		}
+	}
+}
+
+// Retries add less than a tenth to the load of a service that fails whole.
+func TestExperimentWholeServiceFails(t *testing.T) {
+	for name, harm := range map[string]func(*backend){
+		"all dead":     func(b *backend) { b.dead = true },
+		"all shedding": func(b *backend) { b.running = experimentSlots },
+	} {
+		e := newExperiment(t, 1, choosers[3].build, func(backends map[string]*backend) {
+			for _, b := range backends {
+				harm(b)
+			}
+		})
+		e.run(0.5 * capacity)
+		t.Logf("%s: %d requests, %d sent", name, e.offered, e.sent)
+		require.Less(t, float64(e.sent), 1.1*float64(e.offered))
+	}
+}
--- /dev/null
+++ b/internal/decide/brbalance/policy.go
@@ -0,0 +1,66 @@
+package brbalance
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Policy chooses among servers with a free slot, of which there is at least one.
+type Policy interface {
+	choose(free []*candidate, random *rand.Rand, turn int) *candidate
+}
+
+// TwoChoices takes the less loaded of two servers drawn at random.
+type TwoChoices struct{}
+
+func (TwoChoices) choose(free []*candidate, random *rand.Rand, _ int) *candidate {
+	first := random.IntN(len(free))
+	if len(free) == 1 {
+		return free[first]
+	}
+	second := random.IntN(len(free) - 1)
+	if second >= first {
+		second++
+	}
+	unknown := meanLatency(free)
+	if free[second].score(unknown) < free[first].score(unknown) {
+		return free[second]
+	}
+	return free[first]
+}
+
+// LeastLoaded takes the least loaded server.
+type LeastLoaded struct{}
+
+func (LeastLoaded) choose(free []*candidate, _ *rand.Rand, turn int) *candidate {
+	unknown := meanLatency(free)
+	best := free[turn%len(free)]
+	for _, c := range free {
+		if c.score(unknown) < best.score(unknown) {
+			best = c
+		}
+	}
+	return best
+}
+
+// RoundRobin takes one server after the other.
+type RoundRobin struct{}
+
+func (RoundRobin) choose(free []*candidate, _ *rand.Rand, turn int) *candidate {
+	return free[turn%len(free)]
+}
+
+// meanLatency stands for the latency of servers that have not answered yet.
+func meanLatency(free []*candidate) time.Duration {
+	sum, known := time.Duration(0), time.Duration(0)
+	for _, c := range free {
+		if c.latency > 0 {
+			sum += c.latency
+			known++
+		}
+	}
+	if known == 0 {
+		return time.Millisecond
+	}
+	return sum / known
+}
--- a/internal/duty/brbalancing/duty.go
+++ b/internal/duty/brbalancing/duty.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	balancing := brbalancing.New("montevideo-a", clock)
+//	balancing := brbalancing.New("vm-1", "montevideo-a", clock)
 //	group.Start(balancing.Duty())
 //	server, err := balancing.Pick(ctx, brrequest.NewPlacement("lookup", "taller-norte"))
 //	balancing.Release(brrequest.NewOutcome(server.Name(), brrequest.OutcomeAnswered, latency))
@@ -13,6 +13,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -56,9 +57,9 @@
 	servers *brring.ReplyPool[broption.Option[brconfig.Server]]
 }
 
-// New returns the duty for the servers of a failure domain.
-func New(domain string, clock brclock.Clock) *Balancing {
-	h := &handler{balancer: brbalance.NewBalancer(domain)}
+// New returns the duty of a VM for the servers of its failure domain.
+func New(vm, domain string, clock brclock.Clock) *Balancing {
+	h := &handler{clock: clock, balancer: brbalance.NewBalancer[brbalance.LeastLoaded](vm, domain, rand.Uint64())}
 	return &Balancing{
 		duty:    brduty.New("balancing", h, clock, brduty.WithCapacity(queueCapacity)),
 		servers: brring.NewReplyPool[broption.Option[brconfig.Server]](),
@@ -92,21 +93,22 @@
 }
 
 type handler struct {
-	balancer *brbalance.Balancer
+	clock    brclock.Clock
+	balancer *brbalance.Balancer[brbalance.LeastLoaded]
 }
 
 // Handle picks or releases.
 func (h *handler) Handle(_ context.Context, m message) {
 	if outcome, ok := m.outcome.Get(); ok {
-		h.balancer.Release(outcome)
+		h.balancer.Release(h.clock.Now(), outcome)
 		return
 	}
-	m.reply.Answer(h.balancer.Pick(m.placement))
+	m.reply.Answer(h.balancer.Pick(h.clock.Now(), m.placement))
 }
 
 // Update takes a new configuration.
 func (h *handler) Update(_ context.Context, snapshot *brconfig.Snapshot) {
-	h.balancer.Update(snapshot)
+	h.balancer.Update(h.clock.Now(), snapshot)
 }
 
 // Tick does nothing yet.
--- a/internal/service/brnode/node.go
+++ b/internal/service/brnode/node.go
@@ -47,7 +47,7 @@
 	n := &Node{settings: settings, clock: clock, logger: logger}
 	n.timeline = brtimeline.New(settings.VM(), settings.Domain(), clock)
 	n.admission = bradmission.New(clock)
-	n.balancing = brbalancing.New(settings.Domain(), clock)
+	n.balancing = brbalancing.New(settings.VM(), settings.Domain(), clock)
 	n.steering = brsteering.New(clock)
 	n.spreading = brspreading.New(clock, n.timeline)
 	n.spreading.Subscribe(n.admission.Snapshots())
