--- a/internal/duty/brlending/fleet_test.go
+++ b/internal/duty/brlending/fleet_test.go
@@ -68,6 +68,12 @@
 	return nil
 }
 
+func (m *memoryTable) count() int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.commits
+}
+
 // fleet is a number of VMs with their duties, joined by a network with delays.
 type fleet struct {
 	t     *testing.T
@@ -226,11 +232,21 @@
 		sent++
 		if !f.vms[place(next)].admits() {
 			refused++
+			f.t.Logf("refused at %s", next)
 		}
 	}
 	return sent, refused
 }
 
+// runUntil sends requests to the last VM and tells the verdict on each.
+func (f *fleet) runUntil(d, interval time.Duration, tell func(elapsed time.Duration, admitted bool)) {
+	begin := time.Now()
+	for next := time.Duration(0); next < d; next += interval {
+		time.Sleep(time.Until(begin.Add(next)))
+		tell(next, f.vms[len(f.vms)-1].admits())
+	}
+}
+
 func inBubble(t *testing.T, count, domains int, rate, burst string, period time.Duration, test func(t *testing.T, f *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/peer/brentry/lend.go
+++ b/internal/peer/brentry/lend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -19,6 +20,26 @@
 	Lend(ctx context.Context, request brloan.Request) (brloan.Loan, error)
 }
 
+// LendingClient asks another entry VM for loans.
+type LendingClient struct {
+	address string
+	lending brentrypb.Lending
+}
+
+// NewLendingClient returns the client of the entry VM at a base URL.
+func NewLendingClient(client *http.Client, address string) *LendingClient {
+	return &LendingClient{address: address, lending: brentrypb.NewLendingProtobufClient(address, client)}
+}
+
+// WithLending returns a handler that also answers questions for loans.
+func WithLending(next http.Handler, lender Lender) http.Handler {
+	mux := http.NewServeMux()
+	lending := brentrypb.NewLendingServer(&lendServer{lender: lender})
+	mux.Handle(lending.PathPrefix(), lending)
+	mux.Handle("/", next)
+	return mux
+}
+
 type lendServer struct {
 	lender Lender
 }
@@ -40,15 +61,15 @@
 }
 
 // Lend asks the other VM for a loan or for its renewal.
-func (p *Peer) Lend(ctx context.Context, request brloan.Request) (brloan.Loan, error) {
-	reply, err := p.lending.Lend(ctx, &brentrypb.LendRequest{
+func (c *LendingClient) Lend(ctx context.Context, request brloan.Request) (brloan.Loan, error) {
+	reply, err := c.lending.Lend(ctx, &brentrypb.LendRequest{
 		Borrower:          request.ID().Borrower(),
 		Number:            request.ID().Number(),
 		Organisation:      request.Organisation(),
 		LeaseMilliseconds: uint32(request.Lease().Milliseconds()),
 	})
 	if err != nil {
-		return brloan.Loan{}, errors.Errorf("ask %s for a loan: %w", p.address, err)
+		return brloan.Loan{}, errors.Errorf("ask %s for a loan: %w", c.address, err)
 	}
 	lease := time.Duration(reply.GetLeaseMilliseconds()) * time.Millisecond
 	return brloan.NewLoan(brloan.Parts(reply.GetParts()), reply.GetTokens(), reply.GetDenomination(), lease), nil
--- a/internal/peer/brentrypb/spread.twirp.go
+++ b/internal/peer/brentrypb/spread.twirp.go
@@ -787,7 +787,7 @@
 }
 
 func (s *spreadServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *spreadServer) ProtocGenTwirpVersion() string {
@@ -801,7 +801,7 @@
 	return baseServicePath(s.pathPrefix, "bergamotroad", "Spread")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 278 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x84, 0x91, 0x3f, 0x4b, 0xc4, 0x40,
 	0x10, 0xc5, 0x89, 0x9e, 0x01, 0xc7, 0x88, 0xb2, 0xf8, 0x27, 0x97, 0x42, 0x42, 0xb0, 0x88, 0x08,
