--- a/internal/decide/brshare/world_property_test.go
+++ b/internal/decide/brshare/world_property_test.go
@@ -63,7 +63,7 @@
 			w.deliver(index, rapid.Bool().Draw(t, "repeat"))
 		}
 	case 13:
-		w.flush()
+		w.flush(rapid.Bool().Draw(t, "repeat"))
 	case 14:
 		w.upset(t, p)
 	case 15:
@@ -71,13 +71,12 @@
 	}
 }
 
-// flush delivers what is on the bus, and the answers to it.
-func (w *world) flush() {
-	for range min(len(w.bus), maxFlush) {
-		w.deliver(0, false)
-	}
-	for range min(len(w.bus), maxFlush) {
-		w.deliver(0, false)
+// flush delivers what is on the bus and the answers to it, and may keep copies.
+func (w *world) flush(repeat bool) {
+	for range 2 {
+		for range min(len(w.bus), maxFlush) {
+			w.deliver(0, repeat)
+		}
 	}
 }
 
--- a/internal/decide/brshare/world_test.go
+++ b/internal/decide/brshare/world_test.go
@@ -192,8 +192,9 @@
 // messages for a process that has crashed are lost with it.
 func (w *world) deliver(index int, repeat bool) {
 	m := w.bus[index]
-	if !repeat {
-		w.bus = append(w.bus[:index:index], w.bus[index+1:]...)
+	w.bus = append(w.bus[:index:index], w.bus[index+1:]...)
+	if repeat {
+		w.bus = append(w.bus, m)
 	}
 	if m.to == nil || m.starts == m.to.starts {
 		m.deliver()
--- a/internal/model/brconfig/apply.go
+++ b/internal/model/brconfig/apply.go
@@ -8,7 +8,7 @@
 // is still needed and that no two resources claim the same; it returns
 // ErrDangling or ErrClaimed otherwise.
 func (s *Snapshot) Apply(generation uint64, changes []Change) (*Snapshot, error) {
-	next := &Snapshot{generation: generation, stores: maps.Clone(s.stores), index: s.index}
+	next := &Snapshot{generation: generation, stores: maps.Clone(s.stores), index: s.index, history: s.history.with(generation, changes)}
 	altered := newAlteration()
 	for _, c := range netChanges(changes) {
 		if err := next.change(c, altered); err != nil {
--- a/internal/service/brnode/duties.go
+++ b/internal/service/brnode/duties.go
@@ -11,7 +11,11 @@
 		n.balancing.Duty(),
 		n.steering.Duty(),
 		n.spreading.Duty(),
+		n.revoking.Duty(),
 		n.polling.Duty(),
+		n.spread.following.Duty(),
+		n.spread.membership.Duty(),
+		n.spread.archiving.Duty(),
 		n.shares.tenancy.Duty(),
 		n.shares.lending.Duty(),
 	)
--- a/internal/service/brnode/fronts.go
+++ b/internal/service/brnode/fronts.go
@@ -7,9 +7,7 @@
 
 	"github.com/go-faster/errors"
 
-	"bergamotroad.example/bergamotroad/internal/duty/brpolling"
 	"bergamotroad.example/bergamotroad/internal/peer/brcaller"
-	"bergamotroad.example/bergamotroad/internal/peer/brentry"
 	"bergamotroad.example/bergamotroad/internal/peer/brobject"
 	"bergamotroad.example/bergamotroad/internal/peer/broperator"
 	"bergamotroad.example/bergamotroad/internal/peer/brtable"
@@ -33,7 +31,7 @@
 	client := &http.Client{}
 	table := brtable.NewClient(client, platform.Table(), platform.Timeout())
 	objects := brobject.NewClient(client, platform.Objects(), platform.Timeout())
-	n.polling = brpolling.New(n.clock, table, objects, n.spreading, n.logger)
+	n.addSpread(client, table, objects)
 
 	dispatcher := n.requests.dispatcher(n)
 	callers, err := brcaller.NewHandler(n.clock, dispatcher, n.steering)
@@ -48,7 +46,7 @@
 	return errors.Join(
 		n.addFront("callers", n.settings.Callers(), callers),
 		broperator.ServePoison(operators, n.requests.poisoning),
-		n.addFront("peers", n.settings.Peers(), n.requests.front(brentry.WithLending(brentry.NewHandler(n.spreading, n.timeline), n.admission), n.clock, dispatcher)),
+		n.addFront("peers", n.settings.Peers(), n.requests.front(n.peersHandler(), n.clock, dispatcher)),
 		n.addFront("operators", n.settings.Operators(), operators),
 	)
 }
--- a/internal/service/brnode/node.go
+++ b/internal/service/brnode/node.go
@@ -18,6 +18,7 @@
 	"bergamotroad.example/bergamotroad/internal/duty/bradmission"
 	"bergamotroad.example/bergamotroad/internal/duty/brbalancing"
 	"bergamotroad.example/bergamotroad/internal/duty/brpolling"
+	"bergamotroad.example/bergamotroad/internal/duty/brrevoking"
 	"bergamotroad.example/bergamotroad/internal/duty/brspreading"
 	"bergamotroad.example/bergamotroad/internal/duty/brsteering"
 	"bergamotroad.example/bergamotroad/internal/duty/brtimeline"
@@ -35,9 +36,11 @@
 	balancing *brbalancing.Balancing
 	steering  *brsteering.Steering
 	spreading *brspreading.Spreading
+	revoking  *brrevoking.Revoking
 	polling   *brpolling.Polling
-	shares    shares
 	requests  requestDuties
+	shares    shares
+	spread    spread
 	fronts    []front
 }
 
@@ -49,12 +52,16 @@
 	n.balancing = brbalancing.New(settings.Domain(), clock)
 	n.steering = brsteering.New(clock)
 	n.spreading = brspreading.New(clock, n.timeline)
+	n.revoking = brrevoking.New(clock)
 	n.spreading.Subscribe(n.admission.Snapshots())
+	n.spreading.Subscribe(n.revoking.Snapshots())
+	n.spreading.SubscribeConfirmed(n.admission)
+	n.spreading.SubscribeConfirmed(n.revoking)
 	n.spreading.Subscribe(n.balancing.Snapshots())
 	n.spreading.Subscribe(n.steering.Snapshots())
-	n.addShares()
 	n.requests = newRequestDuties(settings, clock, n.timeline)
 	n.requests.subscribe(n.spreading)
+	n.addShares()
 	if err := n.addFronts(); err != nil {
 		n.closeFronts()
 		return nil, err
@@ -81,9 +88,10 @@
 	}
 }
 
-func (*Node) metrics() *prometheus.Registry {
+func (n *Node) metrics() *prometheus.Registry {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector())
 	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	registry.MustRegister(n.spreading.Collectors()...)
 	return registry
 }
--- a/internal/service/brnode/shares.go
+++ b/internal/service/brnode/shares.go
@@ -30,7 +30,7 @@
 	vm, domain := n.settings.VM(), n.settings.Domain()
 	n.shares.tenancy = brtenancy.New(incarnation, vm, domain, n.clock, table, n.admission, n.logger)
 	n.shares.lending = brlending.New(incarnation, vm, domain, n.clock, n.admission, func(address string) brlending.Lender {
-		return brentry.NewLendingClient(client, "http://"+address)
+		return brentry.NewPeer(client, "http://"+address)
 	})
 	n.admission.SeekFrom(n.shares.lending)
 	n.spreading.Subscribe(n.shares.tenancy.Snapshots())
