--- /dev/null
+++ b/internal/duty/brcertificate/duty.go
@@ -0,0 +1,80 @@
+package brcertificate
+
+import (
+	"context"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/core/brduty"
+	"bergamotroad.example/bergamotroad/internal/model/brevent"
+)
+
+// Kinds of events of certificates.
+const (
+	KindCertificateReplaced brevent.Kind = "certificate-replaced"
+	KindCertificateBroken   brevent.Kind = "certificate-broken"
+)
+
+// period is the time between two looks at the files.
+const period = 5 * time.Second
+
+// Certificates is the duty that reads certificates again.
+type Certificates struct {
+	duty *brduty.Duty[struct{}, struct{}]
+}
+
+// New returns the duty for the keepers.
+func New(clock brclock.Clock, logger *log.Logger, events brevent.Recorder, keepers ...*Keeper) *Certificates {
+	h := &handler{logger: logger, events: events, keepers: keepers, faults: make([]string, len(keepers))}
+	return &Certificates{duty: brduty.New("certificates", h, clock, brduty.WithPeriod(period))}
+}
+
+// Duty returns the duty to be started.
+func (c *Certificates) Duty() brduty.Runner { return c.duty }
+
+type handler struct {
+	logger  *log.Logger
+	events  brevent.Recorder
+	keepers []*Keeper
+	faults  []string // last fault of each keeper, to report each once
+}
+
+// Handle does nothing: the duty gets no messages.
+func (*handler) Handle(context.Context, struct{}) {}
+
+// Update does nothing: the duty depends on no snapshot.
+func (*handler) Update(context.Context, struct{}) {}
+
+// Tick reads the files of all keepers.
+func (h *handler) Tick(context.Context, time.Time) {
+	for i, k := range h.keepers {
+		h.reload(i, k)
+	}
+}
+
+func (h *handler) reload(index int, keeper *Keeper) {
+	replaced, err := keeper.Reload()
+	if err != nil {
+		h.report(index, keeper, err)
+		return
+	}
+	h.faults[index] = ""
+	if !replaced {
+		return
+	}
+	h.logger.Info("certificate replaced", "file", keeper.files.certificate, "expires", keeper.NotAfter())
+	h.events.Record(brevent.New(KindCertificateReplaced).WithResource(keeper.files.certificate))
+}
+
+func (h *handler) report(index int, keeper *Keeper, err error) {
+	if h.faults[index] == err.Error() {
+		return
+	}
+	h.faults[index] = err.Error()
+	h.logger.Error("certificate can't be used, the older one stays", "file", keeper.files.certificate, "error", err)
+	h.events.Record(brevent.New(KindCertificateBroken).
+		WithResource(keeper.files.certificate).
+		WithDetail("error", err.Error()))
+}
--- /dev/null
+++ b/internal/duty/brcertificate/keeper_test.go
@@ -0,0 +1,119 @@
+package brcertificate
+
+import (
+	"crypto/tls"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"bergamotroad.example/bergamotroad/internal/model/brevent"
+	"bergamotroad.example/bergamotroad/internal/standin/brauthority"
+)
+
+type recorder struct {
+	kinds []brevent.Kind
+}
+
+func (r *recorder) Record(event brevent.Event) { r.kinds = append(r.kinds, event.Kind()) }
+
+func newAuthority(t *testing.T, name string) *brauthority.Authority {
+	t.Helper()
+	authority, err := brauthority.New(name)
+	require.NoError(t, err)
+	return authority
+}
+
+// issue writes a certificate of the authority and returns its keeper.
+func issue(t *testing.T, authority *brauthority.Authority, names ...string) *Keeper {
+	t.Helper()
+	folder := t.TempDir()
+	files := NewFiles(filepath.Join(folder, "vm.pem"), filepath.Join(folder, "vm.key"), filepath.Join(folder, "ca.pem"))
+	require.NoError(t, authority.WriteCertificate(files.authorities))
+	require.NoError(t, authority.Issue(files.certificate, files.key, names...))
+	keeper, err := NewKeeper(files)
+	require.NoError(t, err)
+	return keeper
+}
+
+// shake returns the errors of client and server of one handshake.
+func shake(t *testing.T, client, server *tls.Config) (clientErr, serverErr error) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	a, err := net.Dial("tcp", listener.Addr().String())
+	require.NoError(t, err)
+	b, err := listener.Accept()
+	require.NoError(t, err)
+	served := make(chan error, 1)
+	go func() {
+		connection := tls.Server(b, server)
+		err := connection.Handshake()
+		if err == nil {
+			_, err = connection.Write([]byte("x"))
+		}
+		_ = b.Close()
+		served <- err
+	}()
+	connection := tls.Client(a, client)
+	_, clientErr = io.ReadFull(connection, make([]byte, 1))
+	_ = a.Close()
+	return clientErr, <-served
+}
+
+func TestVMsTrustOnlyCertificatesOfTheirAuthorityAndName(t *testing.T) {
+	authority := newAuthority(t, "vms")
+	one := issue(t, authority, "127.0.0.1")
+	two := issue(t, authority, "127.0.0.2", "entry.example")
+	foreign := issue(t, newAuthority(t, "others"), "127.0.0.2")
+
+	for _, name := range []string{"127.0.0.2", "entry.example"} {
+		clientErr, serverErr := shake(t, one.ClientConfig(name), two.ServerConfig())
+		require.NoError(t, clientErr)
+		require.NoError(t, serverErr)
+	}
+	clientErr, _ := shake(t, one.ClientConfig("127.0.0.9"), two.ServerConfig())
+	require.Error(t, clientErr, "the certificate is for another IP number")
+	clientErr, _ = shake(t, one.ClientConfig(""), two.ServerConfig())
+	require.Error(t, clientErr, "no name to verify")
+	clientErr, _ = shake(t, one.ClientConfig("127.0.0.2"), foreign.ServerConfig())
+	require.Error(t, clientErr, "the server's authority is unknown")
+	_, serverErr := shake(t, foreign.ClientConfig("127.0.0.2"), two.ServerConfig())
+	require.Error(t, serverErr, "the client's authority is unknown")
+	_, serverErr = shake(t, &tls.Config{InsecureSkipVerify: true}, two.ServerConfig())
+	require.Error(t, serverErr, "the client has no certificate")
+}
+
+func TestReplacedCertificateIsUsedAndBrokenOneIsNot(t *testing.T) {
+	authority := newAuthority(t, "vms")
+	client := issue(t, authority, "127.0.0.1")
+	server := issue(t, authority, "127.0.0.2")
+	events := &recorder{}
+	h := &handler{logger: log.New(io.Discard), events: events, keepers: []*Keeper{server}, faults: make([]string, 1)}
+
+	h.Tick(t.Context(), time.Time{})
+	require.Empty(t, events.kinds)
+
+	require.NoError(t, authority.Issue(server.files.certificate, server.files.key, "127.0.0.3"))
+	h.Tick(t.Context(), time.Time{})
+	require.Equal(t, []brevent.Kind{KindCertificateReplaced}, events.kinds)
+	clientErr, _ := shake(t, client.ClientConfig("127.0.0.3"), server.ServerConfig())
+	require.NoError(t, clientErr)
+
+	// A key that does not belong to the certificate, as between two writes.
+	require.NoError(t, authority.Issue(filepath.Join(t.TempDir(), "other.pem"), server.files.key, "127.0.0.3"))
+	h.Tick(t.Context(), time.Time{})
+	h.Tick(t.Context(), time.Time{})
+	require.NoError(t, os.Remove(server.files.key))
+	h.Tick(t.Context(), time.Time{})
+	require.Equal(t, []brevent.Kind{KindCertificateReplaced, KindCertificateBroken, KindCertificateBroken}, events.kinds)
+	clientErr, serverErr := shake(t, client.ClientConfig("127.0.0.3"), server.ServerConfig())
+	require.NoError(t, clientErr)
+	require.NoError(t, serverErr)
+}
