--- a/internal/codec/brdocument/spec.go
+++ b/internal/codec/brdocument/spec.go
@@ -1,13 +1,11 @@
 package brdocument
 
 import (
-	"net/netip"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"bergamotroad.example/bergamotroad/internal/model/brconfig"
-	"bergamotroad.example/bergamotroad/internal/model/brunit"
 )
 
 // newSpec returns an empty spec of a kind.
@@ -39,6 +37,16 @@
 		return &serverSpec{}, nil
 	case brconfig.KindRoute:
 		return &routeSpec{}, nil
+	case brconfig.KindTeam:
+		return &teamSpec{}, nil
+	case brconfig.KindToken:
+		return &tokenSpec{}, nil
+	case brconfig.KindSelector:
+		return &selectorSpec{}, nil
+	case brconfig.KindMove:
+		return &moveSpec{}, nil
+	case brconfig.KindDrain:
+		return &drainSpec{}, nil
 	default:
 		return nil, errors.Errorf("kind %q does not exist", kind)
 	}
@@ -73,277 +81,21 @@
 		return serverSpecOf(r), nil
 	case brconfig.Route:
 		return routeSpecOf(r), nil
+	case brconfig.Team:
+		return &teamSpec{MaxObjects: r.MaxObjects(), WritesPerMinute: r.WritesPerMinute()}, nil
+	case brconfig.Token:
+		return &tokenSpec{Hash: r.Hash(), Role: string(r.Role())}, nil
+	case brconfig.Selector:
+		return selectorSpecOf(r), nil
+	case brconfig.Move:
+		return moveSpecOf(r), nil
+	case brconfig.Drain:
+		return drainSpecOf(r), nil
 	default:
 		return nil, errors.Errorf("kind %q has no encoding", resource.Kind())
 	}
 }
 
-type regionSpec struct {
-	Capacity int `json:"capacity,omitempty"`
-}
-
-func (s *regionSpec) resource(meta brconfig.Meta) (brconfig.Resource, error) {
-	return brconfig.NewRegion(meta).WithCapacity(s.Capacity), nil
-}
-
-type domainSpec struct {
-	Region string `json:"region"`
-}
-
-func (s *domainSpec) resource(meta brconfig.Meta) (brconfig.Resource, error) {
-	return brconfig.NewDomain(meta, s.Region), nil
-}
-
-type linkSpec struct {
-	From           string `json:"from"`
-	To             string `json:"to"`
-	BytesPerSecond int64  `json:"bytesPerSecond"`
-	Delay          string `json:"delay"`
-}
-
-func (s *linkSpec) resource(meta brconfig.Meta) (brconfig.Resource, error) {
-	delay, err := duration("delay", s.Delay, 0)
-	if err != nil {
-		return nil, err
-	}
-	return brconfig.NewLink(meta, s.From, s.To, s.BytesPerSecond, delay), nil
-}
-
-type siteSpec struct {
-	Domain string `json:"domain"`
-}
-
-func (s *siteSpec) resource(meta brconfig.Meta) (brconfig.Resource, error) {
-	return brconfig.NewSite(meta, s.Domain), nil
-}
-
-type distanceSpec struct {
-	Site      string `json:"site"`
-	RoundTrip string `json:"roundTrip"`
-}
-
-type blockSpec struct {
-	Prefix    string         `json:"prefix"`
-	Distances []distanceSpec `json:"distances"`
-}
-
-func blockSpecOf(b brconfig.Block) *blockSpec {
-	spec := &blockSpec{Prefix: b.Prefix().String()}
-	for _, d := range b.Distances() {
-		spec.Distances = append(spec.Distances, distanceSpec{Site: d.Site(), RoundTrip: d.RoundTrip().String()})
-	}
-	return spec
-}
-
-func (s *blockSpec) resource(meta brconfig.Meta) (brconfig.Resource, error) {
-	prefix, err := netip.ParsePrefix(s.Prefix)
-	if err != nil {
-		return nil, errors.Errorf("prefix: %w", err)
-	}
-	distances := make([]brconfig.Distance, 0, len(s.Distances))
-	for _, d := range s.Distances {
-		roundTrip, err := duration("distances.roundTrip", d.RoundTrip, 0)
-		if err != nil {
-			return nil, err
-		}
-		distances = append(distances, brconfig.NewDistance(d.Site, roundTrip))
-	}
-	return brconfig.NewBlock(meta, prefix, distances), nil
-}
-
-type vmSpec struct {
-	Site          string `json:"site"`
-	CallerAddress string `json:"callerAddress"`
-	PeerAddress   string `json:"peerAddress"`
-}
-
-func (s *vmSpec) resource(meta brconfig.Meta) (brconfig.Resource, error) {
-	return brconfig.NewVM(meta, s.Site, s.CallerAddress, s.PeerAddress), nil
-}
-
-type organisationSpec struct {
-	Weight int    `json:"weight,omitempty"`
-	KeyAge string `json:"keyAge,omitempty"`
-}
-
-func (s *organisationSpec) resource(meta brconfig.Meta) (brconfig.Resource, error) {
-	o := brconfig.NewOrganisation(meta)
-	if s.Weight < 0 {
-		return nil, errors.New("weight: must not be negative")
-	}
-	if s.Weight > 0 {
-		o = o.WithWeight(s.Weight)
-	}
-	age, err := duration("keyAge", s.KeyAge, o.KeyAge())
-	if err != nil {
-		return nil, err
-	}
-	return o.WithKeyAge(age), nil
-}
-
-type keySpec struct {
-	Organisation string `json:"organisation"`
-	Hash         string `json:"hash"`
-}
-
-func (s *keySpec) resource(meta brconfig.Meta) (brconfig.Resource, error) {
-	return brconfig.NewKey(meta, s.Organisation, s.Hash), nil
-}
-
-type unitSpec struct {
-	Standard string            `json:"standard"`
-	Weights  map[string]string `json:"weights,omitempty"`
-}
-
-func unitSpecOf(u brconfig.Unit) *unitSpec {
-	spec := &unitSpec{Standard: u.Standard().String()}
-	for route, weight := range u.Weights() {
-		if spec.Weights == nil {
-			spec.Weights = map[string]string{}
-		}
-		spec.Weights[route] = weight.String()
-	}
-	return spec
-}
-
-func (s *unitSpec) resource(meta brconfig.Meta) (brconfig.Resource, error) {
-	standard, err := brunit.Parse(s.Standard)
-	if err != nil {
-		return nil, errors.Errorf("standard: %w", err)
-	}
-	u := brconfig.NewUnit(meta, standard)
-	for route, text := range s.Weights {
-		weight, err := brunit.Parse(text)
-		if err != nil {
-			return nil, errors.Errorf("weights.%s: %w", route, err)
-		}
-		u = u.WithWeight(route, weight)
-	}
-	return u, nil
-}
-
-type contractSpec struct {
-	Organisation string `json:"organisation"`
-	Unit         string `json:"unit"`
-	Rate         string `json:"rate"`
-	Period       string `json:"period"`
-	Burst        string `json:"burst"`
-}
-
-func contractSpecOf(c brconfig.Contract) *contractSpec {
-	return &contractSpec{
-		Organisation: c.Organisation(),
-		Unit:         c.Unit(),
-		Rate:         c.Rate().String(),
-		Period:       c.Period().String(),
-		Burst:        c.Burst().String(),
-	}
-}
-
-func (s *contractSpec) resource(meta brconfig.Meta) (brconfig.Resource, error) {
-	rate, err := brunit.Parse(s.Rate)
-	if err != nil {
-		return nil, errors.Errorf("rate: %w", err)
-	}
-	burst, err := brunit.Parse(s.Burst)
-	if err != nil {
-		return nil, errors.Errorf("burst: %w", err)
-	}
-	period, err := duration("period", s.Period, 0)
-	if err != nil {
-		return nil, err
-	}
-	if period <= 0 {
-		return nil, errors.New("period: must be more than 0")
-	}
-	return brconfig.NewContract(meta, s.Organisation, s.Unit, rate, period, burst), nil
-}
-
-type serviceSpec struct{}
-
-func (*serviceSpec) resource(meta brconfig.Meta) (brconfig.Resource, error) {
-	return brconfig.NewService(meta), nil
-}
-
-type serverSpec struct {
-	Service string `json:"service"`
-	Domain  string `json:"domain"`
-	Address string `json:"address"`
-	Slots   int    `json:"slots"`
-	Version string `json:"version,omitempty"`
-	State   string `json:"state,omitempty"`
-}
-
-func serverSpecOf(s brconfig.Server) *serverSpec {
-	return &serverSpec{
-		Service: s.Service(),
-		Domain:  s.Domain(),
-		Address: s.Address(),
-		Slots:   s.Slots(),
-		Version: s.Version(),
-		State:   string(s.State()),
-	}
-}
-
-func (s *serverSpec) resource(meta brconfig.Meta) (brconfig.Resource, error) {
-	if s.Slots < 1 {
-		return nil, errors.New("slots: must be at least 1")
-	}
-	server := brconfig.NewServer(meta, s.Service, s.Domain, s.Address, s.Slots).WithVersion(s.Version)
-	switch state := brconfig.ServerState(s.State); state {
-	case "":
-		return server, nil
-	case brconfig.ServerServing, brconfig.ServerLeaving:
-		return server.WithState(state), nil
-	default:
-		return nil, errors.Errorf("state: %q is neither %q nor %q", s.State, brconfig.ServerServing, brconfig.ServerLeaving)
-	}
-}
-
-type routeSpec struct {
-	Service    string   `json:"service"`
-	PathPrefix string   `json:"pathPrefix"`
-	Methods    []string `json:"methods,omitempty"`
-	Repeat     string   `json:"repeat,omitempty"`
-	Open       bool     `json:"open,omitempty"`
-	Timeout    string   `json:"timeout,omitempty"`
-	MaxBody    int64    `json:"maxBody,omitempty"`
-}
-
-func routeSpecOf(r brconfig.Route) *routeSpec {
-	return &routeSpec{
-		Service:    r.Service(),
-		PathPrefix: r.PathPrefix(),
-		Methods:    r.Methods(),
-		Repeat:     string(r.Repeat()),
-		Open:       r.Open(),
-		Timeout:    r.Timeout().String(),
-		MaxBody:    r.MaxBody(),
-	}
-}
-
-func (s *routeSpec) resource(meta brconfig.Meta) (brconfig.Resource, error) {
-	timeout, err := duration("timeout", s.Timeout, brconfig.DefaultRouteTimeout)
-	if err != nil {
-		return nil, err
-	}
-	route := brconfig.NewRoute(meta, s.Service, s.PathPrefix).
-		WithMethods(s.Methods...).
-		WithOpen(s.Open).
-		WithTimeout(timeout)
-	if s.MaxBody > 0 {
-		route = route.WithMaxBody(s.MaxBody)
-	}
-	switch repeat := brconfig.Repeat(s.Repeat); repeat {
-	case "":
-		return route, nil
-	case brconfig.RepeatAny, brconfig.RepeatOnce:
-		return route.WithRepeat(repeat), nil
-	default:
-		return nil, errors.Errorf("repeat: %q is neither %q nor %q", s.Repeat, brconfig.RepeatAny, brconfig.RepeatOnce)
-	}
-}
-
 func duration(field, text string, standard time.Duration) (time.Duration, error) {
 	if text == "" {
 		return standard, nil
@@ -357,3 +109,21 @@
 	}
 	return d, nil
 }
+
+func instant(field, text string) (time.Time, error) {
+	if text == "" {
+		return time.Time{}, nil
+	}
+	t, err := time.Parse(time.RFC3339Nano, text)
+	if err != nil {
+		return time.Time{}, errors.Errorf("%s: %w", field, err)
+	}
+	return t.UTC(), nil
+}
+
+func instantText(t time.Time) string {
+	if t.IsZero() {
+		return ""
+	}
+	return t.UTC().Format(time.RFC3339Nano)
+}
--- a/internal/service/brnode/fronts.go
+++ b/internal/service/brnode/fronts.go
@@ -7,15 +7,11 @@
 
 	"github.com/go-faster/errors"
 
-	"bergamotroad.example/bergamotroad/internal/duty/brpolling"
-	"bergamotroad.example/bergamotroad/internal/peer/brbackend"
 	"bergamotroad.example/bergamotroad/internal/peer/brcaller"
-	"bergamotroad.example/bergamotroad/internal/peer/brentry"
 	"bergamotroad.example/bergamotroad/internal/peer/brobject"
 	"bergamotroad.example/bergamotroad/internal/peer/broperator"
 	"bergamotroad.example/bergamotroad/internal/peer/brtable"
 	"bergamotroad.example/bergamotroad/internal/service/bradministration"
-	"bergamotroad.example/bergamotroad/internal/service/brdispatch"
 	"bergamotroad.example/bergamotroad/internal/service/brsettings"
 )
 
@@ -35,9 +31,9 @@
 	client := &http.Client{}
 	table := brtable.NewClient(client, platform.Table(), platform.Timeout())
 	objects := brobject.NewClient(client, platform.Objects(), platform.Timeout())
-	n.polling = brpolling.New(n.clock, table, objects, n.spreading, n.logger)
+	n.addSpread(client, table, objects)
 
-	dispatcher := brdispatch.New(n.clock, n.admission, n.balancing, brbackend.NewClient(brbackend.NewTransport()), n.timeline)
+	dispatcher := n.requests.dispatcher(n)
 	callers, err := brcaller.NewHandler(n.clock, dispatcher, n.steering)
 	if err != nil {
 		return errors.Errorf("make callers' front: %w", err)
@@ -49,7 +45,8 @@
 	}
 	return errors.Join(
 		n.addFront("callers", n.settings.Callers(), callers),
-		n.addFront("peers", n.settings.Peers(), brentry.NewHandler(n.spreading, n.timeline)),
+		broperator.ServePoison(operators, n.requests.poisoning),
+		n.addFront("peers", n.settings.Peers(), n.requests.front(n.peersHandler(), n.clock, dispatcher)),
 		n.addFront("operators", n.settings.Operators(), operators),
 	)
 }
