Guard each front by limits, TLS and a stop in steps

Cause: fronts took any number of connections and requests, bodies as slow as the client liked, and a stop shut the listeners at once. Change: brfront holds listener, TLS, limits, panics of handlers and leaving; a stop says that it leaves, serves on for drain.lookups with Connection: close, finishes requests, hands shares back, then closes what other VMs use. All connections to other VMs come from one connector, mutual TLS where set.

--- a/internal/peer/brbackend/client.go
+++ b/internal/peer/brbackend/client.go
@@ -47,6 +47,9 @@
 	idleConnections = 64 // for each server
 )
 
+// Dial makes a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Client is a Backend over HTTP/1.1.
 type Client struct {
 	transport http.RoundTripper
@@ -60,8 +63,14 @@
 
 // NewTransport returns the transport for backend servers.
 func NewTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return NewTransportOver(dialer.DialContext)
+}
+
+// NewTransportOver returns the transport over connections that dial makes.
+func NewTransportOver(dial Dial) *http.Transport {
 	return &http.Transport{
-		DialContext:            dialCounted(&net.Dialer{Timeout: dialTimeout}),
+		DialContext:            dialCounted(dial),
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    idleConnections,
 		IdleConnTimeout:        idleTimeout,
--- a/internal/peer/brbackend/connection.go
+++ b/internal/peer/brbackend/connection.go
@@ -62,9 +62,9 @@
 }
 
 // dialCounted returns a dialer of connections that count.
-func dialCounted(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+func dialCounted(dial Dial) Dial {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, address)
+		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, errors.Errorf("dial %s: %w", address, err)
 		}
--- a/internal/peer/brcaller/answer.go
+++ b/internal/peer/brcaller/answer.go
@@ -17,32 +17,41 @@
 	Status  int    `json:"status"`
 	Fate    string `json:"fate"`
 	Reason  string `json:"reason"`
-	Request string `json:"request"`
+	Request string `json:"request,omitempty"`
 }
 
 func writeRefusal(w http.ResponseWriter, id string, result brdispatch.Result) {
 	status := statusOf(result)
-	header := w.Header()
-	header.Set("Content-Type", "application/problem+json")
-	header.Set(FieldFate, string(result.Fate()))
-	header.Set(FieldReason, string(result.Reason()))
-	header.Set(FieldRequestID, id)
-	if result.RetryAfter() > 0 {
-		header.Set("Retry-After", secondsOf(result.RetryAfter()))
-	}
+	w.Header().Set(FieldRequestID, id)
 	if status == http.StatusUnauthorized {
-		header.Set("WWW-Authenticate", "Bearer")
+		w.Header().Set("WWW-Authenticate", "Bearer")
 	}
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(problem{
-		Title:   http.StatusText(status),
-		Status:  status,
+	writeProblem(w, status, result.RetryAfter(), problem{
 		Fate:    string(result.Fate()),
 		Reason:  string(result.Reason()),
 		Request: id,
 	})
 }
 
+// WriteRefusal writes a refusal of a request that no handler carried to its end.
+func WriteRefusal(w http.ResponseWriter, status int, fate brrequest.Fate, reason brrequest.Reason, retryAfter time.Duration) {
+	writeProblem(w, status, retryAfter, problem{Fate: string(fate), Reason: string(reason)})
+}
+
+func writeProblem(w http.ResponseWriter, status int, retryAfter time.Duration, p problem) {
+	p.Title = http.StatusText(status)
+	p.Status = status
+	header := w.Header()
+	header.Set("Content-Type", "application/problem+json")
+	header.Set(FieldFate, p.Fate)
+	header.Set(FieldReason, p.Reason)
+	if retryAfter > 0 {
+		header.Set("Retry-After", secondsOf(retryAfter))
+	}
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(p)
+}
+
 func statusOf(result brdispatch.Result) int {
 	switch result.Reason() {
 	case brrequest.ReasonNoKey, brrequest.ReasonUnknownKey:
--- a/internal/peer/brentry/connector.go
+++ b/internal/peer/brentry/connector.go
@@ -16,28 +16,29 @@
 	dialTimeout         = time.Second
 	handshakeTimeout    = 2 * time.Second
 	idleTimeout         = time.Minute
-	idleConnections     = 16 // for each VM
+	idleConnections     = 2 // for each VM
 	maxReplyHeaderBytes = 64 << 10
 )
 
-// Connector makes the connections to other entry VMs, of all that is said to them.
+// Connector makes the connections to other entry VMs, for all that is said to
+// them. The scheme of their URLs is http in any case: whether a connection is
+// secured is the connector's matter alone.
 type Connector struct {
-	client *http.Client
-	scheme string
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // NewPlainConnector returns a connector that speaks plain TCP.
 func NewPlainConnector() *Connector {
-	return &Connector{client: &http.Client{Transport: newTransport()}, scheme: "http"}
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Connector{dial: dialer.DialContext}
 }
 
 // NewConnector returns a connector that speaks mutual TLS. Other VMs'
 // certificates must hold the server name, or the IP number that is called where
 // the name is "".
 func NewConnector(keeper *brcertificate.Keeper, serverName string) *Connector {
-	transport := newTransport()
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+	return &Connector{dial: func(ctx context.Context, network, address string) (net.Conn, error) {
 		name, err := expectedName(serverName, address)
 		if err != nil {
 			return nil, err
@@ -46,8 +47,7 @@
 		defer cancel()
 		secured := &tls.Dialer{NetDialer: dialer, Config: keeper.ClientConfig(name)}
 		return secured.DialContext(ctx, network, address)
-	}
-	return &Connector{client: &http.Client{Transport: transport}, scheme: "https"}
+	}}
 }
 
 func expectedName(serverName, address string) (string, error) {
@@ -61,24 +61,18 @@
 	return host, nil
 }
 
-func newTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+// Dial makes one connection.
+func (c *Connector) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	return c.dial(ctx, network, address)
+}
+
+// Transport returns a new transport over the connector.
+func (c *Connector) Transport() *http.Transport {
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            c.dial,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    idleConnections,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: maxReplyHeaderBytes,
 	}
 }
-
-// Client returns the HTTP client of all calls to other VMs.
-func (c *Connector) Client() *http.Client { return c.client }
-
-// URL returns the base URL of the VM at host:port.
-func (c *Connector) URL(address string) string { return c.scheme + "://" + address }
-
-// Peer returns the VM at host:port.
-func (c *Connector) Peer(address string) *Peer {
-	return NewPeer(c.client, c.URL(address))
-}
--- /dev/null
+++ b/internal/service/brfront/body.go
@@ -0,0 +1,55 @@
+package brfront
+
+import (
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/service/brsettings"
+)
+
+// steadyBody fails once a body falls behind its least rate. Only the time that
+// is spent waiting for the client counts.
+type steadyBody struct {
+	io.ReadCloser
+	control *http.ResponseController
+	clock   brclock.Clock
+	limits  brsettings.Limits
+	left    time.Duration // that the client may still make us wait
+	ended   atomic.Bool
+}
+
+func newSteadyBody(body io.ReadCloser, w http.ResponseWriter, clock brclock.Clock, limits brsettings.Limits) *steadyBody {
+	return &steadyBody{
+		ReadCloser: body,
+		control:    http.NewResponseController(w),
+		clock:      clock,
+		limits:     limits,
+		left:       limits.BodyGrace(),
+	}
+}
+
+// Read reads a part of the body.
+func (b *steadyBody) Read(part []byte) (int, error) {
+	began := b.clock.Now()
+	_ = b.control.SetReadDeadline(began.Add(b.left))
+	n, err := b.ReadCloser.Read(part)
+	earned := time.Duration(n) * time.Second / time.Duration(b.limits.BodyRate())
+	b.left = min(b.left-b.clock.Now().Sub(began)+earned, b.limits.BodyGrace())
+	if err != nil {
+		b.ended.Store(true)
+	}
+	// The server goes on reading the connection to learn of its end. A
+	// deadline that stayed would look like one.
+	_ = b.control.SetReadDeadline(time.Time{})
+	return n, err
+}
+
+// finish bounds the time in which the server reads what the handler left.
+func (b *steadyBody) finish() {
+	if !b.ended.Load() {
+		_ = b.control.SetReadDeadline(b.clock.Now().Add(b.limits.BodyGrace()))
+	}
+}
--- /dev/null
+++ b/internal/service/brfront/listener.go
@@ -0,0 +1,80 @@
+package brfront
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/decide/brconnection"
+)
+
+// listener closes connections beyond the limits as soon as they are made.
+type listener struct {
+	net.Listener
+	mutex   sync.Mutex
+	counter *brconnection.Counter
+	refused int
+}
+
+func newListener(inner net.Listener, most, mostOfAddress int) *listener {
+	return &listener{Listener: inner, counter: brconnection.NewCounter(most, mostOfAddress)}
+}
+
+// Accept returns the next connection within the limits.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, errors.Errorf("accept: %w", err)
+		}
+		client := addressOf(accepted)
+		if l.take(client) {
+			return &connection{Conn: accepted, release: sync.OnceFunc(func() { l.release(client) })}, nil
+		}
+		_ = accepted.Close()
+	}
+}
+
+// counts returns the connections that are held, and how many were refused.
+func (l *listener) counts() (held, refused int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.counter.Total(), l.refused
+}
+
+func (l *listener) take(client netip.Addr) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	taken := l.counter.Take(client)
+	if !taken {
+		l.refused++
+	}
+	return taken
+}
+
+func (l *listener) release(client netip.Addr) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.counter.Release(client)
+}
+
+func addressOf(accepted net.Conn) netip.Addr {
+	address, err := netip.ParseAddrPort(accepted.RemoteAddr().String())
+	if err != nil {
+		return netip.Addr{}
+	}
+	return address.Addr()
+}
+
+type connection struct {
+	net.Conn
+	release func()
+}
+
+// Close closes the connection and frees its place.
+func (c *connection) Close() error {
+	defer c.release()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/service/brnode/certificates.go
@@ -0,0 +1,50 @@
+package brnode
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/duty/brcertificate"
+	"bergamotroad.example/bergamotroad/internal/peer/brentry"
+	"bergamotroad.example/bergamotroad/internal/service/brsettings"
+)
+
+// The fronts of a VM.
+const (
+	frontCallers   = "callers"
+	frontPeers     = "peers"
+	frontOperators = "operators"
+)
+
+// addCertificates reads the certificates of all fronts, and makes the
+// connector to other VMs with that of the peers' front.
+func (n *Node) addCertificates() error {
+	n.keepers = map[string]*brcertificate.Keeper{}
+	n.connector = brentry.NewPlainConnector()
+	fronts := map[string]brsettings.Front{
+		frontCallers:   n.settings.Callers(),
+		frontPeers:     n.settings.Peers(),
+		frontOperators: n.settings.Operators(),
+	}
+	for name, front := range fronts {
+		if front.Plain() {
+			continue
+		}
+		files := front.TLS()
+		keeper, err := brcertificate.NewKeeper(brcertificate.NewFiles(files.Certificate(), files.Key(), files.ClientCA()))
+		if err != nil {
+			return errors.Errorf("secure front for %s: %w", name, err)
+		}
+		n.keepers[name] = keeper
+	}
+	if keeper, ok := n.keepers[frontPeers]; ok {
+		n.connector = brentry.NewConnector(keeper, n.settings.Peers().TLS().ServerName())
+	}
+	return nil
+}
+
+func (n *Node) certificates() *brcertificate.Certificates {
+	return brcertificate.New(n.clock, n.logger, n.timeline, slices.Collect(maps.Values(n.keepers))...)
+}
--- a/internal/service/brnode/duties.go
+++ b/internal/service/brnode/duties.go
@@ -7,6 +7,7 @@
 func (n *Node) duties() []brduty.Runner {
 	return append(n.requests.duties(),
 		n.timeline.Duty(),
+		n.certificates().Duty(),
 		n.admission.Duty(),
 		n.balancing.Duty(),
 		n.steering.Duty(),
--- a/internal/service/brnode/fronts.go
+++ b/internal/service/brnode/fronts.go
@@ -1,9 +1,7 @@
 package brnode
 
 import (
-	"net"
 	"net/http"
-	"time"
 
 	"github.com/go-faster/errors"
 
@@ -12,20 +10,10 @@
 	"bergamotroad.example/bergamotroad/internal/peer/broperator"
 	"bergamotroad.example/bergamotroad/internal/peer/brtable"
 	"bergamotroad.example/bergamotroad/internal/service/bradministration"
+	"bergamotroad.example/bergamotroad/internal/service/brfront"
 	"bergamotroad.example/bergamotroad/internal/service/brsettings"
 )
 
-const (
-	readHeaderTimeout = 5 * time.Second
-	maxHeaderBytes    = 32 << 10
-)
-
-type front struct {
-	name     string
-	server   *http.Server
-	listener net.Listener
-}
-
 func (n *Node) addFronts() error {
 	platform := n.settings.Platform()
 	client := &http.Client{}
@@ -44,26 +32,26 @@
 		return errors.Errorf("make operators' front: %w", err)
 	}
 	return errors.Join(
-		n.addFront("callers", n.settings.Callers(), callers),
+		n.addFront(frontCallers, n.settings.Callers(), callers),
 		broperator.ServePoison(operators, n.requests.poisoning),
-		n.addFront("peers", n.settings.Peers(), n.requests.front(n.peersHandler(), n.clock, dispatcher)),
-		n.addFront("operators", n.settings.Operators(), operators),
+		n.addFront(frontPeers, n.settings.Peers(), n.requests.front(n.peersHandler(), n.clock, dispatcher)),
+		n.addFront(frontOperators, n.settings.Operators(), n.withReadiness(operators)),
 	)
 }
 
 func (n *Node) addFront(name string, settings brsettings.Front, handler http.Handler) error {
-	listener, err := net.Listen("tcp", settings.Address())
+	parts := brfront.NewParts(n.clock, n.logger, n.timeline, brcaller.WriteRefusal)
+	front, err := brfront.New(name, settings, n.keepers[name], handler, parts)
 	if err != nil {
-		return errors.Errorf("listen for %s: %w", name, err)
+		return errors.Errorf("open front: %w", err)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
-	n.fronts = append(n.fronts, front{name: name, server: server, listener: listener})
+	n.fronts = append(n.fronts, front)
 	return nil
 }
 
 func (n *Node) closeFronts() {
 	for _, f := range n.fronts {
-		_ = f.listener.Close()
+		f.Close()
 	}
 }
 
@@ -71,9 +59,8 @@
 	failures := make(chan error, len(n.fronts))
 	for _, f := range n.fronts {
 		go func() {
-			err := f.server.Serve(f.listener)
-			if !errors.Is(err, http.ErrServerClosed) {
-				failures <- errors.Errorf("serve %s: %w", f.name, err)
+			if err := f.Serve(); err != nil {
+				failures <- err
 			}
 		}()
 	}
--- a/internal/service/brnode/node.go
+++ b/internal/service/brnode/node.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"github.com/charmbracelet/log"
 	"github.com/prometheus/client_golang/prometheus"
@@ -17,13 +18,17 @@
 	"bergamotroad.example/bergamotroad/internal/core/brduty"
 	"bergamotroad.example/bergamotroad/internal/duty/bradmission"
 	"bergamotroad.example/bergamotroad/internal/duty/brbalancing"
+	"bergamotroad.example/bergamotroad/internal/duty/brcertificate"
 	"bergamotroad.example/bergamotroad/internal/duty/brpolling"
 	"bergamotroad.example/bergamotroad/internal/duty/brrevoking"
 	"bergamotroad.example/bergamotroad/internal/duty/brspreading"
 	"bergamotroad.example/bergamotroad/internal/duty/brsteering"
 	"bergamotroad.example/bergamotroad/internal/duty/brtimeline"
 	"bergamotroad.example/bergamotroad/internal/model/brevent"
+	"bergamotroad.example/bergamotroad/internal/peer/brentry"
+	"bergamotroad.example/bergamotroad/internal/service/brfront"
 	"bergamotroad.example/bergamotroad/internal/service/brsettings"
+	"bergamotroad.example/bergamotroad/internal/service/brstop"
 )
 
 // Node is one VM.
@@ -41,12 +46,19 @@
 	requests  requestDuties
 	shares    shares
 	spread    spread
-	fronts    []front
+	keepers   map[string]*brcertificate.Keeper // by front; none for plain ones
+	connector *brentry.Connector
+	fronts    []*brfront.Front
+	leavers   []brstop.Step
+	leaving   atomic.Bool
 }
 
 // New returns a VM that listens but does not answer yet.
 func New(settings brsettings.Settings, clock brclock.Clock, logger *log.Logger) (*Node, error) {
 	n := &Node{settings: settings, clock: clock, logger: logger}
+	if err := n.addCertificates(); err != nil {
+		return nil, err
+	}
 	n.timeline = brtimeline.New(settings.VM(), settings.Domain(), clock)
 	n.admission = bradmission.New(clock)
 	n.balancing = brbalancing.New(settings.Domain(), clock)
@@ -59,7 +71,7 @@
 	n.spreading.SubscribeConfirmed(n.revoking)
 	n.spreading.Subscribe(n.balancing.Snapshots())
 	n.spreading.Subscribe(n.steering.Snapshots())
-	n.requests = newRequestDuties(settings, clock, n.timeline)
+	n.requests = newRequestDuties(settings, clock, n.timeline, n.connector)
 	n.requests.subscribe(n.spreading)
 	n.addShares()
 	if err := n.addFronts(); err != nil {
--- a/internal/service/brnode/requests.go
+++ b/internal/service/brnode/requests.go
@@ -25,8 +25,8 @@
 	poisoning  *brpoisoning.Poisoning
 }
 
-func newRequestDuties(settings brsettings.Settings, clock brclock.Clock, events brevent.Recorder) requestDuties {
-	telling := brtelling.New(settings.VM(), settings.Domain(), clock, brentry.NewTeller(&http.Client{}))
+func newRequestDuties(settings brsettings.Settings, clock brclock.Clock, events brevent.Recorder, connector *brentry.Connector) requestDuties {
+	telling := brtelling.New(settings.VM(), settings.Domain(), clock, brentry.NewTeller(&http.Client{Transport: connector.Transport()}))
 	return requestDuties{
 		retrying:   brretrying.New(clock),
 		forwarding: brforwarding.New(settings.Domain(), clock),
@@ -47,7 +47,7 @@
 
 func (r requestDuties) dispatcher(n *Node) *brdispatch.Dispatcher {
 	backend := brbackend.NewClient(brbackend.NewTransport())
-	entry := brentry.NewForwarder(brbackend.NewClient(brbackend.NewTransport()))
+	entry := brentry.NewForwarder(brbackend.NewClient(brbackend.NewTransportOver(n.connector.Dial)))
 	return brdispatch.New(n.clock, n.admission, n.revoking, n.balancing, r.retrying, r.forwarding, r.poisoning, backend, entry, n.timeline)
 }
 
--- a/internal/service/brnode/shares.go
+++ b/internal/service/brnode/shares.go
@@ -24,8 +24,8 @@
 
 func (n *Node) addShares() {
 	platform := n.settings.Platform()
-	client := &http.Client{}
-	table := brtable.NewClient(client, platform.Table(), platform.Timeout())
+	client := &http.Client{Transport: n.connector.Transport()}
+	table := brtable.NewClient(&http.Client{}, platform.Table(), platform.Timeout())
 	incarnation := uuid.NewString()
 	vm, domain := n.settings.VM(), n.settings.Domain()
 	n.shares.tenancy = brtenancy.New(incarnation, vm, domain, n.clock, table, n.admission, n.logger)
--- a/internal/service/brnode/spread.go
+++ b/internal/service/brnode/spread.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"bergamotroad.example/bergamotroad/internal/duty/brarchiving"
 	"bergamotroad.example/bergamotroad/internal/duty/brfollowing"
@@ -15,12 +14,6 @@
 	"bergamotroad.example/bergamotroad/internal/peer/brvmlist"
 )
 
-const (
-	// peerConnectionsIdle bounds the idle connections to one other VM.
-	peerConnectionsIdle = 2
-	peerIdleTimeout     = time.Minute
-)
-
 // spread is the duties that bring the configuration, beside the poller.
 type spread struct {
 	following  *brfollowing.Following
@@ -45,8 +38,7 @@
 	platform := n.settings.Platform()
 	n.polling = brpolling.New(vm, domain, n.clock, table, objects, n.spreading, n.logger)
 	known := &generations{spreading: n.spreading}
-	transport := &http.Transport{MaxIdleConnsPerHost: peerConnectionsIdle, IdleConnTimeout: peerIdleTimeout}
-	pool := brentry.NewPool(&http.Client{Transport: brentry.NewTransport(vm, known, transport)})
+	pool := brentry.NewPool(&http.Client{Transport: brentry.NewTransport(vm, known, n.connector.Transport())})
 	n.spread.following = brfollowing.New(vm, domain, n.clock, pool, n.spreading, n.polling, n.logger)
 	known.following = n.spread.following
 	n.spread.archiving = brarchiving.New(vm, n.clock, objects, n.logger)
--- a/internal/service/brnode/stop.go
+++ b/internal/service/brnode/stop.go
@@ -2,24 +2,104 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/model/brevent"
+	"bergamotroad.example/bergamotroad/internal/service/brfront"
+	"bergamotroad.example/bergamotroad/internal/service/brstop"
+)
+
+const (
+	closeTimeout = 5 * time.Second
+	// stepMargin is what a step gets beyond the time that it is meant to take.
+	stepMargin = time.Second
 )
 
-const drainTimeout = 30 * time.Second
+// OnLeave adds a step that runs as soon as the VM leaves, while it still
+// serves. It is called before Run.
+func (n *Node) OnLeave(step brstop.Step) {
+	n.leavers = append(n.leavers, step)
+}
 
-// stop drains the fronts and returns the cause with what went wrong meanwhile.
+// stop leaves, drains and ends. After a failure of the VM itself it does not
+// wait for callers with older look-ups.
 func (n *Node) stop(ctx context.Context, cause error) error {
 	n.logger.Info("VM stops", "vm", n.settings.VM(), "cause", cause)
-	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainTimeout)
-	defer cancel()
+	n.leave()
+	steps := append([]brstop.Step{}, n.leavers...)
+	if cause == nil {
+		steps = append(steps, n.outlastLookups())
+	}
+	steps = append(steps, n.finishRequests(), n.giveBack(), n.closePeers())
+	err := brstop.NewSequence(n.logger, n.timeline, steps...).Run(context.WithoutCancel(ctx))
+	return errors.Join(err, cause)
+}
+
+// leave says that the VM leaves: on the time line, by /readyz and in each answer.
+func (n *Node) leave() {
+	n.leaving.Store(true)
+	n.timeline.Record(brevent.New(brevent.KindVMLeaving))
+	for _, f := range n.fronts {
+		f.Leave()
+	}
+}
+
+// outlastLookups serves on until no caller holds a look-up that names the VM.
+func (n *Node) outlastLookups() brstop.Step {
+	wait := n.settings.Drain().Lookups()
+	return brstop.NewStep("outlast look-ups", wait+stepMargin, func(ctx context.Context) error {
+		timer := n.clock.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-timer.C():
+		case <-ctx.Done():
+		}
+		return nil
+	})
+}
+
+// finishRequests waits for the requests of callers.
+func (n *Node) finishRequests() brstop.Step {
+	return brstop.NewStep("finish requests", n.settings.Drain().Requests()+stepMargin, func(ctx context.Context) error {
+		return n.shutdown(ctx, func(f *brfront.Front) bool { return f.Name() == frontCallers })
+	})
+}
+
+// giveBack hands the VM's parts of limits to the others.
+func (n *Node) giveBack() brstop.Step {
+	return brstop.NewStep("give shares back", handBackTimeout+stepMargin, func(ctx context.Context) error {
+		n.handBack(ctx)
+		return nil
+	})
+}
+
+// closePeers ends the fronts that other VMs and operators use until the last.
+func (n *Node) closePeers() brstop.Step {
+	return brstop.NewStep("close fronts", closeTimeout, func(ctx context.Context) error {
+		return n.shutdown(ctx, func(f *brfront.Front) bool { return f.Name() != frontCallers })
+	})
+}
+
+func (n *Node) shutdown(ctx context.Context, chosen func(*brfront.Front) bool) error {
 	faults := []error{}
 	for _, f := range n.fronts {
-		if err := f.server.Shutdown(drain); err != nil {
-			faults = append(faults, errors.Errorf("drain %s: %w", f.name, err))
+		if chosen(f) {
+			faults = append(faults, f.Shutdown(ctx))
 		}
 	}
-	n.handBack(drain)
-	return errors.Join(append(faults, cause)...)
+	return errors.Join(faults...)
+}
+
+// withReadiness answers /readyz with 503 while the VM leaves.
+func (n *Node) withReadiness(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/readyz" && n.leaving.Load() {
+			http.Error(w, "the VM is leaving", http.StatusServiceUnavailable)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
 }
