Prove the spreading on generated histories, and advance look-ups by delta

Cause: nothing showed that VMs agree after faults, and each change rebuilt the whole look-up table.

Change: VMs run the real duties and handlers over a bus in memory and fake time, through cuts, outages, restarts, damaged and lost answers and a restored head. The tests found two faults, mended here: a damaged delta that could still be read was applied and made a branch of its own (chains are now checked digest for digest up to the announced head), and two branches asked each other without end (a heard generation is now followed once a period at most). Followers stay only with sources as well informed as a poller, and a source of no use is left quickly.

--- /dev/null
+++ b/internal/codec/brdocument/chain.go
@@ -0,0 +1,26 @@
+package brdocument
+
+import "github.com/go-faster/errors"
+
+// Chain returns the deltas that lead from one head to another, oldest first,
+// out of those given. It fails where they do not join, digest for digest.
+func Chain(from, to Head, deltas [][]byte) ([][]byte, error) {
+	at := from
+	for i, data := range deltas {
+		if at == to {
+			return deltas[:i], nil
+		}
+		delta, err := DecodeDelta(data)
+		if err != nil {
+			return nil, errors.Errorf("delta after generation %d: %w", at.generation, err)
+		}
+		if delta.previous != at {
+			return nil, errors.Errorf("delta %d does not follow generation %d", delta.Generation(), at.generation)
+		}
+		at = NewHead(delta.Generation(), delta.Operation(), data)
+	}
+	if at != to {
+		return nil, errors.Errorf("deltas end in generation %d, not in the announced %d", at.generation, to.generation)
+	}
+	return deltas, nil
+}
--- a/internal/decide/brspread/plan.go
+++ b/internal/decide/brspread/plan.go
@@ -35,7 +35,10 @@
 	// pollPeriod is the time between two polls of a VM that polls.
 	pollPeriod = time.Second
 	// StaleAfter is the age at which a VM's knowledge counts as old.
-	StaleAfter = 3 * time.Second
+	StaleAfter = 4 * time.Second
+	// informedAge is the age up to which a source's knowledge is as good as a
+	// poller's.
+	informedAge = 2 * time.Second
 	// isolatedAfter is the number of sources that fail one after the other
 	// before a VM takes itself for cut off from its neighbours.
 	isolatedAfter = 2
@@ -60,6 +63,10 @@
 // Stale reports whether the knowledge is old.
 func (k Knowledge) Stale() bool { return k.age > StaleAfter }
 
+// WellInformed reports whether a source whose knowledge has an age is worth
+// staying with. Followers of followers would know too late.
+func WellInformed(age time.Duration) bool { return age <= informedAge }
+
 // Plan is one VM's part in the spreading. It is immutable.
 type Plan struct {
 	rank    int
--- a/internal/duty/brfollowing/ask.go
+++ b/internal/duty/brfollowing/ask.go
@@ -36,7 +36,7 @@
 		return verdictFailed
 	}
 	if notice.Head().Generation() > h.spreading.Generation() {
-		if err := h.catchUp(ctx, source); err != nil {
+		if err := h.catchUp(ctx, source, notice.Head()); err != nil {
 			h.warn(ctx, member, err)
 			return verdictFailed
 		}
@@ -63,14 +63,15 @@
 	}
 	behind := notice.Head().Generation() < state.Head().Generation()
 	branched := notice.Head().Generation() == state.Head().Generation() && notice.Head() != state.Head()
-	if behind || branched || brspread.NewKnowledge(age, 0).Stale() {
+	if behind || branched || !brspread.WellInformed(age) {
 		return verdictOutdated
 	}
 	return verdictInformed
 }
 
-// catchUp fetches what the source has beyond the VM's generation.
-func (h *handler) catchUp(ctx context.Context, source Source) error {
+// catchUp fetches what leads from the VM's generation to the source's head.
+// What does not end in that head, digest for digest, is not taken.
+func (h *handler) catchUp(ctx context.Context, source Source, head brdocument.Head) error {
 	before, err := h.spreading.State(ctx)
 	if err != nil {
 		return errors.Errorf("read own generation: %w", err)
@@ -80,14 +81,14 @@
 		return errors.Errorf("fetch deltas: %w", err)
 	}
 	if !covered {
-		return h.takeSnapshot(ctx, source)
+		return h.takeSnapshot(ctx, source, head)
 	}
-	after, err := h.spreading.Offer(ctx, deltas)
+	chain, err := brdocument.Chain(before.Head(), head, deltas)
 	if err != nil {
-		return errors.Errorf("offer deltas: %w", err)
+		return errors.Errorf("check deltas: %w", err)
 	}
-	if after.Head() == before.Head() {
-		return errors.Errorf("deltas do not follow generation %d", before.Head().Generation())
+	if _, err := h.spreading.Offer(ctx, chain); err != nil {
+		return errors.Errorf("offer deltas: %w", err)
 	}
 	return nil
 }
@@ -98,11 +99,14 @@
 	return source.Fetch(ctx, after)
 }
 
-func (h *handler) takeSnapshot(ctx context.Context, source Source) error {
+func (h *handler) takeSnapshot(ctx context.Context, source Source, announced brdocument.Head) error {
 	head, pieces, err := fetchPieces(ctx, source)
 	if err != nil {
 		return err
 	}
+	if head != announced {
+		return errors.Errorf("snapshot of generation %d in place of %d", head.Generation(), announced.Generation())
+	}
 	snapshot, err := brdocument.Assemble(head.Generation(), pieces)
 	if err != nil {
 		return errors.Errorf("assemble snapshot: %w", err)
--- /dev/null
+++ b/internal/duty/brfollowing/cluster_test.go
@@ -0,0 +1,312 @@
+package brfollowing_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/codec/brdocument"
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/core/brduty"
+	"bergamotroad.example/bergamotroad/internal/duty/brfollowing"
+	"bergamotroad.example/bergamotroad/internal/duty/brpolling"
+	"bergamotroad.example/bergamotroad/internal/duty/brspreading"
+	"bergamotroad.example/bergamotroad/internal/duty/brtimeline"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brevent"
+	"bergamotroad.example/bergamotroad/internal/model/brmember"
+	"bergamotroad.example/bergamotroad/internal/peer/brentry"
+	"bergamotroad.example/bergamotroad/internal/peer/brtable"
+	"bergamotroad.example/bergamotroad/internal/standin/brplatform"
+)
+
+// cluster is VMs that run the real duties over a message bus in memory.
+type cluster struct {
+	mutex    sync.Mutex
+	faults   *brplatform.Faults
+	table    *brplatform.Table
+	objects  *brplatform.Objects
+	vms      []*vm
+	cut      map[[2]string]bool
+	noStore  map[string]bool
+	corrupt  int
+	lost     int
+	messages atomic.Int64
+	bytes    atomic.Int64
+	head     brdocument.Head
+}
+
+type vm struct {
+	name      string
+	domain    string
+	cluster   *cluster
+	group     *brduty.Group
+	spreading *brspreading.Spreading
+	handler   http.Handler
+	events    *recorder
+	highest   uint64
+}
+
+type recorder struct {
+	mutex sync.Mutex
+	kinds map[brevent.Kind]int
+}
+
+func (r *recorder) Record(event brevent.Event) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.kinds[event.Kind()]++
+}
+
+func (r *recorder) count(kind brevent.Kind) int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.kinds[kind]
+}
+
+type noTimeline struct{}
+
+func (noTimeline) Read(context.Context, uint64, int) (brtimeline.Page, error) {
+	return brtimeline.Page{}, nil
+}
+
+func newCluster(domains, vmsEach int) *cluster {
+	faults := brplatform.NewFaults()
+	c := &cluster{
+		faults:  faults,
+		table:   brplatform.NewTable(faults),
+		objects: brplatform.NewObjects(faults),
+		cut:     map[[2]string]bool{},
+		noStore: map[string]bool{},
+	}
+	for i := range domains * vmsEach {
+		c.vms = append(c.vms, &vm{name: fmt.Sprintf("vm-%03d", i), domain: fmt.Sprintf("domain-%d", i%domains), cluster: c})
+	}
+	return c
+}
+
+func (c *cluster) start() {
+	for _, v := range c.vms {
+		v.start()
+	}
+}
+
+func (c *cluster) stop() {
+	for _, v := range c.vms {
+		v.group.Stop()
+	}
+}
+
+func (c *cluster) members() brmember.List {
+	members := []brmember.Member{}
+	for _, v := range c.vms {
+		members = append(members, brmember.New(v.name, v.domain, v.name))
+	}
+	return brmember.NewList(members)
+}
+
+// start makes the VM anew, without any configuration.
+func (v *vm) start() {
+	clock := brclock.NewSystem()
+	logger := log.New(io.Discard)
+	v.events = &recorder{kinds: map[brevent.Kind]int{}}
+	v.highest = 0
+	v.spreading = brspreading.New(clock, v.events)
+	heard := &generations{spreading: v.spreading}
+	client := &http.Client{Transport: brentry.NewTransport(v.name, heard, &bus{from: v})}
+	polling := brpolling.New(v.name, v.domain, clock, &table{Table: v.cluster.table, vm: v}, v.cluster.objects, v.spreading, logger)
+	following := brfollowing.New(v.name, v.domain, clock, brentry.NewPool(client), v.spreading, polling, logger)
+	heard.following = following
+	v.cluster.mutex.Lock()
+	v.handler = brentry.WithGeneration(v.name, heard, brentry.NewHandler(clock, v.spreading, noTimeline{}))
+	v.cluster.mutex.Unlock()
+	_ = polling.Members().Send(v.cluster.members())
+	_ = following.Members().Send(v.cluster.members())
+	v.group = brduty.NewGroup(context.Background(), clock, ignore{})
+	v.group.Start(v.spreading.Duty(), polling.Duty(), following.Duty())
+}
+
+func (v *vm) restart() {
+	v.group.Stop()
+	v.start()
+}
+
+type ignore struct{}
+
+func (ignore) DutyStalled(string, int)                   {}
+func (ignore) DutyPanicked(name string, v any, _ []byte) { panic(fmt.Sprint(name, v)) }
+
+type generations struct {
+	spreading *brspreading.Spreading
+	following *brfollowing.Following
+}
+
+func (g *generations) Generation() uint64             { return g.spreading.Generation() }
+func (g *generations) Heard(vm string, number uint64) { g.following.Heard(vm, number) }
+
+// table is the platform's table as one VM reaches it.
+type table struct {
+	brtable.Table
+	vm *vm
+}
+
+func (t *table) Read(ctx context.Context, key string) (brtable.Row, error) {
+	t.vm.cluster.mutex.Lock()
+	away := t.vm.cluster.noStore[t.vm.name]
+	t.vm.cluster.mutex.Unlock()
+	if away {
+		return brtable.Row{}, brtable.NewErrUnavailable(errors.New("cut off"))
+	}
+	return t.Table.Read(ctx, key)
+}
+
+// bus carries messages from one VM to the handlers of others.
+type bus struct {
+	from *vm
+}
+
+func (b *bus) RoundTrip(request *http.Request) (*http.Response, error) {
+	c := b.from.cluster
+	to, handler := c.find(request.URL.Host)
+	if handler == nil || c.isCut(b.from.name, to) {
+		<-request.Context().Done()
+		return nil, request.Context().Err()
+	}
+	answer := httptest.NewRecorder()
+	handler.ServeHTTP(answer, request)
+	if c.isCut(b.from.name, to) || c.takeFault(&c.lost) {
+		return nil, errors.New("answer lost")
+	}
+	body := answer.Body.Bytes()
+	c.messages.Add(1)
+	c.bytes.Add(int64(len(body)) + request.ContentLength)
+	if len(body) > 0 && c.takeFault(&c.corrupt) {
+		body = bytes.Clone(body)
+		body[len(body)/2] ^= 0x20
+	}
+	response := answer.Result()
+	response.Body = io.NopCloser(bytes.NewReader(body))
+	return response, nil
+}
+
+func (c *cluster) find(name string) (string, http.Handler) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, v := range c.vms {
+		if v.name == name {
+			return name, v.handler
+		}
+	}
+	return name, nil
+}
+
+func (c *cluster) takeFault(count *int) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if *count == 0 {
+		return false
+	}
+	*count--
+	return true
+}
+
+func (c *cluster) isCut(a, b string) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.cut[[2]string{min(a, b), max(a, b)}]
+}
+
+func (c *cluster) setCut(a, b string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.cut[[2]string{min(a, b), max(a, b)}] = true
+}
+
+func (c *cluster) setNoStore(name string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.noStore[name] = true
+}
+
+func (c *cluster) setFaults(corrupt, lost int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.corrupt, c.lost = corrupt, lost
+}
+
+// heal removes all faults.
+func (c *cluster) heal() {
+	c.faults.SetDown(false)
+	c.putHead(c.head)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	clear(c.cut)
+	clear(c.noStore)
+	c.corrupt, c.lost = 0, 0
+}
+
+// accept writes one change to the platform, as an operator's VM does.
+func (c *cluster) accept(changes ...brconfig.Change) {
+	c.faults.SetDown(false)
+	operation := fmt.Sprintf("operation-%d", c.head.Generation()+1)
+	data, err := brdocument.EncodeDelta(brdocument.NewDelta(c.head, operation, "test", changes))
+	if err != nil {
+		panic(err)
+	}
+	c.head = brdocument.NewHead(c.head.Generation()+1, operation, data)
+	if err := c.objects.Put(context.Background(), c.head.DeltaName(), data); err != nil {
+		panic(err)
+	}
+	c.putHead(c.head)
+}
+
+func (c *cluster) putHead(head brdocument.Head) {
+	ctx := context.Background()
+	version := int64(0)
+	if row, err := c.table.Read(ctx, brdocument.HeadKey); err == nil {
+		version = row.Version()
+	}
+	if head.Generation() == 0 && version == 0 {
+		return
+	}
+	data, err := brdocument.EncodeHead(head)
+	if err == nil {
+		err = c.table.Commit(ctx, brtable.NewTransaction().Require(brdocument.HeadKey, version).Put(brdocument.HeadKey, data))
+	}
+	if err != nil {
+		panic(err)
+	}
+}
+
+func region(number uint64) brconfig.Change {
+	return brconfig.Put(brconfig.NewRegion(brconfig.NewMeta(fmt.Sprintf("region-%d", number))))
+}
+
+// lagging returns a VM that is not at the newest generation, or "".
+func (c *cluster) lagging() string {
+	for _, v := range c.vms {
+		if v.spreading.Generation() != c.head.Generation() {
+			return fmt.Sprintf("%s at %d of %d", v.name, v.spreading.Generation(), c.head.Generation())
+		}
+	}
+	return ""
+}
+
+// inForce returns how long it takes until all VMs are at the newest generation.
+func (c *cluster) inForce(limit time.Duration) time.Duration {
+	const step = 10 * time.Millisecond
+	began := time.Now()
+	for c.lagging() != "" && time.Since(began) < limit {
+		time.Sleep(step)
+	}
+	return time.Since(began)
+}
--- a/internal/duty/brfollowing/duty.go
+++ b/internal/duty/brfollowing/duty.go
@@ -101,13 +101,18 @@
 	plan      brspread.Plan
 	next      int // the source that is asked next
 	failed    int // sources that failed one after the other
+	useless   int // sources that failed or knew too little, one after the other
+	lastHeard time.Time
 }
 
-// Handle asks the VM that a newer generation was heard of.
+// Handle asks the VM that a newer generation was heard of, once a period at
+// most: the answer carries the generation too.
 func (h *handler) Handle(ctx context.Context, m message) {
-	if m.generation <= h.spreading.Generation() {
+	now := h.clock.Now()
+	if m.generation <= h.spreading.Generation() || now.Sub(h.lastHeard) < tickPeriod {
 		return
 	}
+	h.lastHeard = now
 	for _, member := range h.members.All() {
 		if member.Name() == m.vm {
 			_ = h.ask(ctx, member, 0)
@@ -134,13 +139,16 @@
 	if h.plan.Poller() && !stale {
 		return
 	}
-	hold := patience
-	if stale {
-		hold = 0
+	h.settle(h.ask(ctx, sources[h.next%len(sources)], h.hold(len(sources))))
+}
+
+// hold returns how long a source may hold the question. A VM whose source is
+// of no use goes through the others quickly, once.
+func (h *handler) hold(sources int) time.Duration {
+	if h.useless > 0 && h.useless < sources {
+		return 0
 	}
-	source := sources[h.next%len(sources)]
-	verdict := h.ask(ctx, source, hold)
-	h.settle(verdict)
+	return patience
 }
 
 func (h *handler) settle(v verdict) {
@@ -150,7 +158,10 @@
 	} else {
 		h.failed = 0
 	}
-	if v != verdictInformed {
+	if v == verdictInformed {
+		h.useless = 0
+	} else {
+		h.useless++
 		h.next++
 	}
 	if h.failed != before {
--- /dev/null
+++ b/internal/duty/brfollowing/spread_test.go
@@ -0,0 +1,276 @@
+package brfollowing_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"bergamotroad.example/bergamotroad/internal/codec/brdocument"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brevent"
+	_ "bergamotroad.example/bergamotroad/internal/standin/brseed"
+)
+
+// inForceWithin is what the users ask, of fake time.
+const inForceWithin = 7 * time.Second
+
+// Whatever fails, no VM goes back, and after healing all agree in time.
+func TestVMsAgreeAfterHealingAndNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		domains := rapid.IntRange(1, 3).Draw(rt, "domains")
+		vmsEach := rapid.IntRange(1, 4).Draw(rt, "VMs")
+		history := rapid.SliceOfN(disturbances(domains*vmsEach), 1, 20).Draw(rt, "history")
+		fault := ""
+		synctest.Test(t, func(*testing.T) { fault = play(newCluster(domains, vmsEach), history) })
+		require.Empty(rt, fault)
+	})
+}
+
+// disturbance is one step of a history.
+type disturbance struct {
+	kind       int
+	one, other int
+	corrupt    int
+	lost       int
+	pause      time.Duration
+}
+
+func disturbances(vms int) *rapid.Generator[disturbance] {
+	return rapid.Custom(func(t *rapid.T) disturbance {
+		return disturbance{
+			kind:    rapid.IntRange(0, 8).Draw(t, "kind"),
+			one:     rapid.IntRange(0, vms-1).Draw(t, "one"),
+			other:   rapid.IntRange(0, vms-1).Draw(t, "other"),
+			corrupt: rapid.IntRange(0, 3).Draw(t, "corrupt"),
+			lost:    rapid.IntRange(0, 3).Draw(t, "lost"),
+			pause:   time.Duration(rapid.IntRange(0, 4000).Draw(t, "pause")) * time.Millisecond,
+		}
+	})
+}
+
+// play returns what went wrong, or "".
+func play(c *cluster, history []disturbance) string {
+	c.start()
+	defer c.stop()
+	for _, d := range history {
+		c.disturb(d)
+		time.Sleep(d.pause)
+		if back := c.wentBack(); back != "" {
+			return back
+		}
+	}
+	c.heal()
+	c.inForce(inForceWithin)
+	if back := c.wentBack(); back != "" {
+		return back
+	}
+	return c.lagging()
+}
+
+func (c *cluster) disturb(d disturbance) {
+	one, other := c.vms[d.one], c.vms[d.other]
+	switch d.kind {
+	case 0, 1:
+		c.accept(region(c.head.Generation()))
+	case 2:
+		c.setCut(one.name, other.name)
+	case 3:
+		c.setNoStore(one.name)
+	case 4:
+		c.faults.SetDown(true)
+	case 5:
+		one.restart()
+	case 6:
+		c.setFaults(d.corrupt, d.lost)
+	case 7:
+		c.faults.SetDown(false)
+		c.putHead(brdocument.Head{})
+	case 8:
+		c.heal()
+	}
+}
+
+// wentBack names a VM whose generation is lower than before, or is "".
+func (c *cluster) wentBack() string {
+	for _, v := range c.vms {
+		now := v.spreading.Generation()
+		if now < v.highest {
+			return fmt.Sprintf("%s went back from %d to %d", v.name, v.highest, now)
+		}
+		v.highest = now
+	}
+	return ""
+}
+
+func TestFailureDomainCutOffFromPlatformLearnsFromAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(2, 5)
+		c.start()
+		defer c.stop()
+		time.Sleep(inForceWithin)
+		for _, v := range c.vms {
+			if v.domain == "domain-0" {
+				c.setNoStore(v.name)
+			}
+		}
+		c.accept(region(1))
+		c.inForce(inForceWithin)
+		require.Empty(t, c.lagging())
+	})
+}
+
+func TestVMThatStartsWhilePlatformIsAwayLearnsFromNeighbours(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1, 5)
+		c.start()
+		defer c.stop()
+		c.accept(region(1))
+		c.inForce(inForceWithin)
+		c.faults.SetDown(true)
+		c.vms[0].restart()
+		c.inForce(inForceWithin)
+		require.Empty(t, c.lagging())
+	})
+}
+
+// A VM that is further behind than the deltas reach fetches a snapshot.
+func TestVMFarBehindFetchesSnapshotFromNeighbour(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1, 3)
+		c.start()
+		defer c.stop()
+		const changes = 1100
+		for i := range uint64(changes) {
+			c.accept(region(i))
+		}
+		c.inForce(time.Minute)
+		c.faults.SetDown(true)
+		c.vms[0].restart()
+		c.inForce(inForceWithin)
+		require.Empty(t, c.lagging())
+		require.Equal(t, 1, c.vms[0].events.count(brevent.KindSnapshotInstalled))
+	})
+}
+
+func TestRestoredHeadIsReportedAndNotFollowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1, 3)
+		c.start()
+		defer c.stop()
+		c.accept(region(1))
+		old := c.head
+		c.accept(region(2))
+		c.inForce(inForceWithin)
+		time.Sleep(inForceWithin)
+		c.putHead(old)
+		time.Sleep(inForceWithin)
+		require.Empty(t, c.lagging())
+		require.Equal(t, 3, c.reporting(brevent.KindHeadBehind), "all poll, as nobody's knowledge is confirmed")
+	})
+}
+
+func TestBranchIsReportedAndNotMixed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1, 3)
+		c.start()
+		defer c.stop()
+		c.accept(region(1))
+		old := c.head
+		c.accept(region(2))
+		c.inForce(inForceWithin)
+		kept := c.head
+		c.head = old
+		c.accept(region(3))
+		c.accept(region(4))
+		time.Sleep(inForceWithin)
+		for _, v := range c.vms {
+			require.Equal(t, kept.Generation(), v.spreading.Generation())
+		}
+		require.Equal(t, 3, c.reporting(brevent.KindBranched), "all poll, as nobody's knowledge is confirmed")
+	})
+}
+
+func (c *cluster) reporting(kind brevent.Kind) int {
+	count := 0
+	for _, v := range c.vms {
+		count += min(1, v.events.count(kind))
+	}
+	return count
+}
+
+// Reads of the platform depend on failure domains, not on VMs.
+func TestReadsOfThePlatformDoNotGrowWithVMs(t *testing.T) {
+	for _, vmsEach := range []int{4, 16, 64} {
+		synctest.Test(t, func(t *testing.T) {
+			const seconds = 60
+			c := newCluster(2, vmsEach)
+			c.start()
+			defer c.stop()
+			time.Sleep(inForceWithin)
+			before := c.table.Reads()
+			time.Sleep(seconds * time.Second)
+			const pollers = 2 * 2
+			require.InDelta(t, pollers*seconds, c.table.Reads()-before, pollers*seconds/4)
+		})
+	}
+}
+
+// VMs of two branches hear of each other's generations with every message;
+// they neither mix nor ask without end.
+func TestVMsOnTwoBranchesDoNotAskWithoutEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1, 2)
+		c.start()
+		defer c.stop()
+		c.accept(region(1))
+		c.inForce(inForceWithin)
+		old := c.head
+		c.setNoStore(c.vms[1].name)
+		c.setCut(c.vms[0].name, c.vms[1].name)
+		c.accept(region(2))
+		time.Sleep(inForceWithin)
+		c.head = old
+		c.accept(region(3))
+		c.accept(region(4))
+		c.mutex.Lock()
+		clear(c.noStore)
+		c.mutex.Unlock()
+		time.Sleep(inForceWithin)
+		c.heal()
+		before := c.messages.Load()
+		time.Sleep(inForceWithin)
+		require.Equal(t, uint64(2), c.vms[0].spreading.Generation())
+		require.Equal(t, uint64(3), c.vms[1].spreading.Generation())
+		require.Less(t, c.messages.Load()-before, int64(500))
+	})
+}
+
+// A delta that is damaged but can still be read is not applied.
+func TestDamagedDeltaIsNotApplied(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		first := encoded(t, brdocument.Head{}, "one")
+		middle := brdocument.NewHead(1, "one", first)
+		second := encoded(t, middle, "two")
+		head := brdocument.NewHead(2, "two", second)
+		deltas := [][]byte{first, second}
+		_, err := brdocument.Chain(brdocument.Head{}, head, deltas)
+		require.NoError(t, err)
+		which := rapid.IntRange(0, 1).Draw(t, "which")
+		damaged := bytes.Clone(deltas[which])
+		damaged[rapid.IntRange(0, len(damaged)-1).Draw(t, "where")] ^= byte(rapid.IntRange(1, 255).Draw(t, "by"))
+		deltas[which] = damaged
+		_, err = brdocument.Chain(brdocument.Head{}, head, deltas)
+		require.Error(t, err)
+	})
+}
+
+func encoded(t require.TestingT, previous brdocument.Head, operation string) []byte {
+	data, err := brdocument.EncodeDelta(brdocument.NewDelta(previous, operation, "test", []brconfig.Change{region(previous.Generation())}))
+	require.NoError(t, err)
+	return data
+}
--- a/internal/duty/brsteering/duty.go
+++ b/internal/duty/brsteering/duty.go
@@ -73,7 +73,7 @@
 
 // Update takes a new configuration.
 func (h *handler) Update(_ context.Context, snapshot *brconfig.Snapshot) {
-	h.locator = brlookup.NewLocator(snapshot)
+	h.locator = h.locator.Advance(snapshot)
 }
 
 // Tick does nothing.
