--- a/internal/core/brring/reply.go
+++ b/internal/core/brring/reply.go
@@ -11,6 +11,14 @@
 	ring *Queue[T]
 }
 
+// NewReply returns a reply that answers into a ring.
+func NewReply[T any](ring *Queue[T]) Reply[T] {
+	return Reply[T]{ring: ring}
+}
+
+// Expected reports whether someone waits for the answer; the zero Reply has nobody.
+func (r Reply[T]) Expected() bool { return r.ring != nil }
+
 // Answer hands the answer to the sender. A second answer is dropped.
 func (r Reply[T]) Answer(answer T) {
 	_ = r.ring.Send(answer)
--- /dev/null
+++ b/internal/decide/brshare/account.go
@@ -0,0 +1,219 @@
+package brshare
+
+import (
+	"time"
+
+	"bergamotroad.example/bergamotroad/internal/model/brloan"
+)
+
+// Account is what one VM may use of one limit. It has one owner.
+type Account struct {
+	limit  Limit
+	ledger *Ledger[Parts]
+	bucket *Bucket
+	asked  map[Attempt]time.Time
+	number uint64
+	used   time.Time
+	sought time.Time
+	needed int64
+}
+
+const (
+	// idleAfter is the time without a request after which a VM lends all it has.
+	idleAfter = time.Second
+	// seekPeriod is the least time between two searches for loans.
+	seekPeriod = 100 * time.Millisecond
+	// renewAhead is how long before its end a loan is renewed.
+	renewAhead = 2 * time.Second
+	// reserve is the number of requests for which an account keeps tokens.
+	reserve = 4
+)
+
+// NewAccount returns an account without parts and tokens.
+func NewAccount(limit Limit, now time.Time) *Account {
+	return &Account{
+		limit:  limit,
+		ledger: NewLedger[Parts](),
+		bucket: NewBucket(limit.Share(0), now),
+		asked:  map[Attempt]time.Time{},
+	}
+}
+
+// Limit returns the limit.
+func (a *Account) Limit() Limit { return a.limit }
+
+// Parts returns the parts that may be used at the time.
+func (a *Account) Parts(now time.Time) Parts {
+	a.advance(now)
+	return a.ledger.Usable()
+}
+
+// Level returns the scaled units that may be used at the time.
+func (a *Account) Level(now time.Time) int64 {
+	a.advance(now)
+	return a.bucket.Level(now)
+}
+
+// Take uses weight scaled units and reports whether there were enough.
+func (a *Account) Take(weight int64, now time.Time) bool {
+	a.advance(now)
+	a.used, a.needed = now, weight
+	return a.bucket.Take(weight, now)
+}
+
+// Wait returns how long it takes until weight units are there without loans,
+// and false where the share never holds so many.
+func (a *Account) Wait(weight int64, now time.Time) (time.Duration, bool) {
+	a.advance(now)
+	return a.bucket.Wait(weight, now)
+}
+
+// Grant sets the parts that a slot gives until its lease ends.
+func (a *Account) Grant(slot string, parts Parts, end, now time.Time) {
+	a.advance(now)
+	a.ledger.Grant(slot, parts, end)
+	a.advance(now)
+	a.share(now)
+}
+
+// Change replaces the limit. Tokens are kept up to the new burst; none are added.
+func (a *Account) Change(limit Limit, now time.Time) {
+	a.advance(now)
+	a.bucket.level = limit.convert(a.bucket.level, a.limit)
+	a.bucket.remainder = 0
+	a.limit = limit
+	a.share(now)
+}
+
+// Short reports whether tokens run low that loans could bring.
+func (a *Account) Short(now time.Time) bool {
+	a.advance(now)
+	low := a.bucket.level < max(reserve*a.needed, a.bucket.share.burst/2)
+	return low && a.ledger.Usable() < Whole
+}
+
+// Low reports whether loans are to be asked for. It is true at most once a period.
+func (a *Account) Low(now time.Time) bool {
+	if now.Sub(a.sought) < seekPeriod || !a.Short(now) {
+		return false
+	}
+	a.sought = now
+	return true
+}
+
+// Renewals returns the loans that are in use and end soon.
+func (a *Account) Renewals(now time.Time) []LoanID {
+	if a.used.IsZero() || now.Sub(a.used) > renewAhead {
+		return nil
+	}
+	ids := []LoanID{}
+	for id, loan := range a.ledger.loans {
+		if loan.end.Sub(now) < renewAhead {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Idle reports whether nothing is borrowed or lent.
+func (a *Account) Idle(now time.Time) bool {
+	a.advance(now)
+	return len(a.ledger.loans) == 0 && len(a.ledger.debts) == 0
+}
+
+// Surrender gives up all grants; what was lent stays lent until it lapses.
+func (a *Account) Surrender(now time.Time) {
+	a.advance(now)
+	a.ledger.surrender()
+	a.share(now)
+}
+
+// Ask notes, before the message is sent, that a loan is asked for or renewed.
+func (a *Account) Ask(id LoanID, now time.Time) Attempt {
+	a.number++
+	attempt := Attempt{id: id, number: a.number}
+	a.asked[attempt] = now
+	return attempt
+}
+
+// Lend debits and returns a loan with all parts that can be spared, or half of
+// them while the VM uses them itself. The same name again renews the loan; the
+// tokens are given once only, so that they are lost if the first answer is.
+func (a *Account) Lend(id LoanID, lease time.Duration, now time.Time) Loan {
+	a.advance(now)
+	end := GiverEnd(now, lease)
+	if debt, ok := a.ledger.debts[id]; ok {
+		return a.renew(id, debt, end, now)
+	}
+	parts := a.spare(end, now)
+	if parts <= 0 {
+		return Loan{}
+	}
+	tokens := min(a.bucket.level, a.limit.BurstOf(parts))
+	a.bucket.level -= tokens
+	debt := entry[Parts]{amount: parts, lease: lease, end: end}
+	a.ledger.lend(id, debt)
+	a.share(now)
+	return brloan.NewLoan(parts, tokens, a.limit.denomination, lease)
+}
+
+// renew extends a debt where the grants behind it last as long and the VM does
+// not need it back.
+func (a *Account) renew(id LoanID, debt entry[Parts], end, now time.Time) Loan {
+	backed := a.ledger.granted(end) >= a.ledger.lent()
+	short := now.Sub(a.used) < idleAfter && a.bucket.level < a.needed
+	if !backed || short {
+		return Loan{}
+	}
+	if end.After(debt.end) {
+		debt.end = end
+	}
+	a.ledger.lend(id, debt)
+	return brloan.NewLoan(debt.amount, 0, a.limit.denomination, debt.lease)
+}
+
+// Borrow credits the answer to an attempt and reports whether it did. Repeated,
+// late and unasked answers change nothing.
+func (a *Account) Borrow(attempt Attempt, loan Loan, now time.Time) bool {
+	a.advance(now)
+	asked, ok := a.asked[attempt]
+	delete(a.asked, attempt)
+	end := HolderEnd(asked, loan.Lease())
+	if !ok || loan.Parts() <= 0 || !now.Before(end) {
+		return false
+	}
+	if held, ok := a.ledger.loans[attempt.id]; ok && held.end.After(end) {
+		end = held.end
+	}
+	a.ledger.borrow(attempt.id, entry[Parts]{amount: loan.Parts(), lease: loan.Lease(), end: end})
+	a.share(now)
+	if loan.Denomination() != a.limit.denomination {
+		return true
+	}
+	tokens := min(loan.Tokens(), a.limit.BurstOf(loan.Parts()))
+	a.bucket.level = min(a.bucket.level+tokens, a.bucket.share.burst)
+	return true
+}
+
+func (a *Account) spare(end, now time.Time) Parts {
+	lendable := min(a.ledger.Lendable(end), a.ledger.Usable())
+	if !a.used.IsZero() && now.Sub(a.used) < idleAfter {
+		return lendable / 2
+	}
+	return lendable
+}
+
+// advance brings the account to the time, one lapsed lease after the other, so
+// that nothing accrues on parts whose lease has ended.
+func (a *Account) advance(now time.Time) {
+	for a.ledger.Due(now) {
+		lapsed := a.ledger.Next()
+		a.ledger.Lapse(lapsed)
+		a.share(lapsed)
+	}
+	a.bucket.refill(now)
+}
+
+func (a *Account) share(now time.Time) {
+	a.bucket.Change(a.limit.Share(a.ledger.Usable()), now)
+}
--- a/internal/duty/bradmission/duty.go
+++ b/internal/duty/bradmission/duty.go
@@ -20,15 +20,20 @@
 	"bergamotroad.example/bergamotroad/internal/core/brclock"
 	"bergamotroad.example/bergamotroad/internal/core/brduty"
 	"bergamotroad.example/bergamotroad/internal/core/brring"
-	"bergamotroad.example/bergamotroad/internal/decide/brkey"
 	"bergamotroad.example/bergamotroad/internal/decide/brroute"
+	"bergamotroad.example/bergamotroad/internal/decide/brshare"
 	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brloan"
 	"bergamotroad.example/bergamotroad/internal/model/brrequest"
 )
 
-const queueCapacity = 4096 // requests
+const (
+	queueCapacity = 4096 // messages
+	tickPeriod    = 50 * time.Millisecond
+)
 
 type message struct {
+	control control
 	request brrequest.Request
 	reply   brring.Reply[brrequest.Verdict]
 }
@@ -36,15 +41,23 @@
 // Admission is the duty with the calls that reach it.
 type Admission struct {
 	duty     *brduty.Duty[message, *brconfig.Snapshot]
+	handler  *handler
 	verdicts *brring.ReplyPool[brrequest.Verdict]
+	booleans *brring.ReplyPool[bool]
+	loans    *brring.ReplyPool[brloan.Loan]
+	attempts *brring.ReplyPool[brshare.Attempt]
 }
 
 // New returns the duty; it refuses everything before the first snapshot.
 func New(clock brclock.Clock) *Admission {
-	h := &handler{clock: clock}
+	h := &handler{clock: clock, identity: newIdentity(), limits: newLimits(clock)}
 	return &Admission{
-		duty:     brduty.New("admission", h, clock, brduty.WithCapacity(queueCapacity)),
+		duty:     brduty.New("admission", h, clock, brduty.WithCapacity(queueCapacity), brduty.WithPeriod(tickPeriod)),
+		handler:  h,
 		verdicts: brring.NewReplyPool[brrequest.Verdict](),
+		booleans: brring.NewReplyPool[bool](),
+		loans:    brring.NewReplyPool[brloan.Loan](),
+		attempts: brring.NewReplyPool[brshare.Attempt](),
 	}
 }
 
@@ -71,24 +84,37 @@
 type handler struct {
 	clock    brclock.Clock
 	snapshot *brconfig.Snapshot
-	keys     *brkey.Keychain
+	identity *identity
 	routes   *brroute.Matcher
+	limits   *limits
+	parked   []parked
 }
 
-// Handle answers one request.
+// Handle answers one request, or takes a message about shares.
 func (h *handler) Handle(_ context.Context, m message) {
-	m.reply.Answer(h.verdict(m.request))
+	if m.control != nil {
+		m.control(h)
+		return
+	}
+	verdict := h.verdict(m.request)
+	if !h.park(m, verdict) {
+		m.reply.Answer(verdict)
+	}
 }
 
 // Update takes a new configuration.
 func (h *handler) Update(_ context.Context, snapshot *brconfig.Snapshot) {
 	h.snapshot = snapshot
-	h.keys = brkey.NewKeychain(snapshot)
+	h.identity.update(snapshot)
 	h.routes = brroute.NewMatcher(snapshot)
+	h.limits.update(snapshot)
 }
 
-// Tick does nothing yet.
-func (*handler) Tick(context.Context, time.Time) {}
+// Tick renews loans and answers requests that have waited for loans.
+func (h *handler) Tick(_ context.Context, now time.Time) {
+	h.limits.renew(now)
+	h.expireParked(now)
+}
 
 func (h *handler) verdict(request brrequest.Request) brrequest.Verdict {
 	if h.snapshot == nil {
@@ -98,19 +124,12 @@
 	if !ok {
 		return brrequest.Refuse(brrequest.ReasonNoRoute, "", 0)
 	}
-	if request.KeyHash().IsZero() {
-		return h.withoutKey(route)
+	owner, unidentified := h.identity.of(request, h.clock.Now())
+	if unidentified.reason != brrequest.ReasonNone && !route.Open() {
+		return brrequest.Refuse(unidentified.reason, unidentified.organisation, unidentified.retryAfter)
 	}
-	organisation, ok := h.keys.Organisation(request.KeyHash()).Get()
-	if !ok && !route.Open() {
-		return brrequest.Refuse(brrequest.ReasonUnknownKey, "", 0)
-	}
-	return brrequest.Admit(organisation, route, h.snapshot.Generation())
-}
-
-func (h *handler) withoutKey(route brconfig.Route) brrequest.Verdict {
-	if !route.Open() {
-		return brrequest.Refuse(brrequest.ReasonNoKey, "", 0)
+	if refusal, refused := h.limits.refuse(owner.Name(), route); refused {
+		return refusal
 	}
-	return brrequest.Admit("", route, h.snapshot.Generation())
+	return brrequest.Admit(owner.Name(), route, h.snapshot.Generation()).WithWeight(owner.Weight())
 }
--- a/internal/duty/brspreading/handler.go
+++ b/internal/duty/brspreading/handler.go
@@ -15,16 +15,18 @@
 )
 
 type handler struct {
-	clock       brclock.Clock
-	events      brevent.Recorder
-	metrics     *metrics
-	generation  *atomic.Uint64
-	subscribers []*brring.Latest[*brconfig.Snapshot]
-	archives    []*brring.Latest[State]
-	state       State
-	changed     time.Time
-	reported    brdocument.Head
-	waiters     []message
+	confirmers   []Confirmer
+	tableReaders []Confirmer
+	clock        brclock.Clock
+	events       brevent.Recorder
+	metrics      *metrics
+	generation   *atomic.Uint64
+	subscribers  []*brring.Latest[*brconfig.Snapshot]
+	archives     []*brring.Latest[State]
+	state        State
+	changed      time.Time
+	reported     brdocument.Head
+	waiters      []message
 }
 
 // Handle takes deltas, a snapshot, a reading of a head, a question or a wait.
@@ -101,9 +103,13 @@
 // confirm compares a head that was read elsewhere with the VM's own.
 func (h *handler) confirm(r reading) {
 	if r.head == h.state.head {
+		if r.platform {
+			tell(h.tableReaders, r.at)
+		}
 		if r.at.After(h.state.confirmed) {
 			h.state.confirmed = r.at
 			h.metrics.confirmed.Set(float64(r.at.Unix()))
+			tell(h.confirmers, r.at)
 		}
 		return
 	}
@@ -117,6 +123,12 @@
 	}
 }
 
+func tell(confirmers []Confirmer, at time.Time) {
+	for _, c := range confirmers {
+		c.Confirm(at)
+	}
+}
+
 // agrees is false for a head of the VM's generation that is not the VM's.
 func (h *handler) agrees(head brdocument.Head) bool {
 	if head.Generation() != h.state.head.Generation() || head == h.state.head {
--- a/internal/model/brrequest/fate.go
+++ b/internal/model/brrequest/fate.go
@@ -30,6 +30,9 @@
 	ReasonNoRoute         Reason = "no-route"
 	ReasonNoKey           Reason = "no-key"
 	ReasonUnknownKey      Reason = "unknown-key"
+	ReasonKeyUnconfirmed  Reason = "key-unconfirmed"
+	ReasonKeyWithdrawn    Reason = "key-withdrawn"
+	ReasonTooManyGuesses  Reason = "too-many-unknown-keys"
 	ReasonOverRate        Reason = "over-rate"
 	ReasonOverloaded      Reason = "overloaded"
 	ReasonNoServer        Reason = "no-server"
@@ -38,6 +41,8 @@
 	ReasonBodyTooLarge    Reason = "body-too-large"
 	ReasonServerFailed    Reason = "server-failed"
 	ReasonCallerGone      Reason = "caller-gone"
+	ReasonPoison          Reason = "poison"
+	ReasonPoisonSuspect   Reason = "poison-suspect"
 )
 
 // Verdict is the answer of admission to a request.
--- a/internal/peer/brentry/peer.go
+++ b/internal/peer/brentry/peer.go
@@ -13,6 +13,7 @@
 	address  string
 	spread   brentrypb.Spread
 	timeline brentrypb.Timeline
+	lending  brentrypb.Lending
 }
 
 // NewPeer returns the entry VM at a base URL.
@@ -21,6 +22,7 @@
 		address:  address,
 		spread:   brentrypb.NewSpreadProtobufClient(address, client),
 		timeline: brentrypb.NewTimelineProtobufClient(address, client),
+		lending:  brentrypb.NewLendingProtobufClient(address, client),
 	}
 }
 
@@ -40,11 +42,13 @@
 }
 
 // NewHandler returns the handler that answers other entry VMs.
-func NewHandler(clock brclock.Clock, spreading Spreading, timeline Timeline) http.Handler {
+func NewHandler(clock brclock.Clock, spreading Spreading, timeline Timeline, lender Lender) http.Handler {
 	mux := http.NewServeMux()
 	spread := brentrypb.NewSpreadServer(&spreadServer{clock: clock, spreading: spreading})
 	mux.Handle(spread.PathPrefix(), spread)
 	events := brentrypb.NewTimelineServer(&timelineServer{timeline: timeline})
 	mux.Handle(events.PathPrefix(), events)
+	lending := brentrypb.NewLendingServer(&lendServer{lender: lender})
+	mux.Handle(lending.PathPrefix(), lending)
 	return mux
 }
