Announce each change of the configuration to a witness

Cause: the witnesses attest nothing unless writers tell them first. Change: a change is announced to one witness before its transaction is sent and ended with the accepted delta once its outcome is known; an unknown outcome stays open until the witness has read the table. Without a witness the change is refused as unavailable, but for an explicit header. The call that moves the head is bounded by the witnesses' commit time.

--- a/internal/peer/broperator/operation.go
+++ b/internal/peer/broperator/operation.go
@@ -20,6 +20,8 @@
 const (
 	headerIdempotencyKey = "Idempotency-Key"
 	headerIfMatch        = "If-Match"
+	// headerWithoutWitness makes a change although no witness can be told.
+	headerWithoutWitness = "Bergamotroad-Without-Witness"
 )
 
 var idempotencyKeyPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9_-]{7,63}$`)
@@ -61,6 +63,9 @@
 		}
 		operation = operation.WithID(key, fingerprint(ctx, body))
 	}
+	if ctx.GetHeader(headerWithoutWitness) != "" {
+		operation = operation.WithoutWitness()
+	}
 	expected := ctx.GetHeader(headerIfMatch)
 	if expected == "" {
 		return operation, nil
--- a/internal/service/bradministration/administration.go
+++ b/internal/service/bradministration/administration.go
@@ -10,7 +10,7 @@
 //
 // # Usage
 //
-//	administration := bradministration.New(clock, policy, writing, spreading, table, objects, timeline)
+//	administration := bradministration.New(clock, policy, writing, spreading, table, objects, witnesses, timeline)
 //	outcome, err := administration.Apply(ctx, bradministration.NewOperation(principal, bradministration.Fixed(changes)))
 //	if bradministration.IsErrOutcomeUnknown(err) {
 //		entry, err = administration.Operation(ctx, id)
@@ -57,11 +57,12 @@
 	spreading Spreading
 	table     brtable.Table
 	objects   brobject.Store
+	witnesses Witnesses
 	events    brevent.Recorder
 }
 
 // New returns the service, which lets in operators by a policy.
-func New(clock brclock.Clock, policy braccess.Policy, writing Writing, spreading Spreading, table brtable.Table, objects brobject.Store, events brevent.Recorder) *Administration {
+func New(clock brclock.Clock, policy braccess.Policy, writing Writing, spreading Spreading, table brtable.Table, objects brobject.Store, witnesses Witnesses, events brevent.Recorder) *Administration {
 	return &Administration{
 		policy:    policy,
 		writing:   writing,
@@ -69,6 +70,7 @@
 		spreading: spreading,
 		table:     table,
 		objects:   objects,
+		witnesses: witnesses,
 		events:    events,
 	}
 }
--- a/internal/service/bradministration/apply.go
+++ b/internal/service/bradministration/apply.go
@@ -165,7 +165,14 @@
 	if err != nil {
 		return brdocument.Entry{}, err
 	}
+	announced, err := a.announce(ctx, from.snapshot, attempt, operation.withoutWitness)
+	if err != nil {
+		return brdocument.Entry{}, err
+	}
 	accepted, err := a.commit(ctx, transaction, entry)
+	if !IsErrOutcomeUnknown(err) {
+		announced.end(ctx, deltaIf(err == nil && accepted.Head() == head, data))
+	}
 	if err != nil {
 		return brdocument.Entry{}, err
 	}
@@ -176,6 +183,13 @@
 	return accepted, nil
 }
 
+func deltaIf(accepted bool, delta []byte) []byte {
+	if !accepted {
+		return nil
+	}
+	return delta
+}
+
 // checkContracts returns ErrContract where a changed contract or unit can't be
 // kept to exactly.
 func checkContracts(next *brconfig.Snapshot, changes []brconfig.Change) error {
--- a/internal/service/bradministration/apply_test.go
+++ b/internal/service/bradministration/apply_test.go
@@ -100,7 +100,7 @@
 	for range size {
 		spreading := brspreading.New(clock, nobody{})
 		group.Start(spreading.Duty())
-		f.vms = append(f.vms, bradministration.New(clock, braccess.NewPolicy().WithOpen(true), anyPace{}, spreading, f.table, objects, nobody{}))
+		f.vms = append(f.vms, bradministration.New(clock, braccess.NewPolicy().WithOpen(true), anyPace{}, spreading, f.table, objects, nil, nobody{}))
 	}
 	f.stop = group.Stop
 	return f
--- a/internal/service/bradministration/commit.go
+++ b/internal/service/bradministration/commit.go
@@ -6,6 +6,7 @@
 	"github.com/go-faster/errors"
 
 	"bergamotroad.example/bergamotroad/internal/codec/brdocument"
+	"bergamotroad.example/bergamotroad/internal/decide/brwitness"
 	"bergamotroad.example/bergamotroad/internal/peer/brtable"
 )
 
@@ -58,6 +59,8 @@
 // it asks for the version of the head that it replaces, so that it takes effect
 // once at most, however late an earlier sending lands.
 func (a *Administration) commit(ctx context.Context, transaction brtable.Transaction, entry brdocument.Entry) (brdocument.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, brwitness.CommitTime)
+	defer cancel()
 	var lost error
 	for range maxCommits {
 		err := a.table.Commit(ctx, transaction)
--- a/internal/service/bradministration/operation.go
+++ b/internal/service/bradministration/operation.go
@@ -24,6 +24,8 @@
 	principal   brprincipal.Principal
 	expected    broption.Option[uint64]
 	edit        Edit
+
+	withoutWitness bool
 }
 
 // NewOperation returns an operation with an identifier of its own.
@@ -47,6 +49,14 @@
 	return o
 }
 
+// WithoutWitness returns the operation that is made although no witness can be
+// told of it: VMs that can't read the table may honour what it withdraws until
+// they can.
+func (o Operation) WithoutWitness() Operation {
+	o.withoutWitness = true
+	return o
+}
+
 // ID returns the identifier.
 func (o Operation) ID() string { return o.id }
 
--- a/internal/service/brnode/fronts.go
+++ b/internal/service/brnode/fronts.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return errors.Errorf("make callers' front: %w", err)
 	}
-	administration := bradministration.New(n.clock, accessPolicy(n.settings.Operators().Administration()), n.writing, n.spreading, table, objects, n.timeline)
+	administration := bradministration.New(n.clock, accessPolicy(n.settings.Operators().Administration()), n.writing, n.spreading, table, objects, n.spread.witnesses, n.timeline)
 	operators, err := broperator.NewHandler(n.settings.VM(), administration, n.timeline, n.metrics())
 	if err != nil {
 		return errors.Errorf("make operators' front: %w", err)
--- a/internal/service/brnode/spread.go
+++ b/internal/service/brnode/spread.go
@@ -23,6 +23,7 @@
 	archiving  *brarchiving.Archiving
 	witnessing *brwitnessing.Witnessing
 	inquiring  *brinquiring.Inquiring
+	witnesses  *brentry.Witnesses
 }
 
 // generations is the VM's own generation and what is heard of others'.
@@ -49,7 +50,8 @@
 	n.spread.archiving = brarchiving.New(vm, n.clock, objects, n.logger)
 	n.spread.witnessing = brwitnessing.New(n.clock, n.spreading)
 	n.spreading.SubscribeTableRead(n.spread.witnessing)
-	n.spread.inquiring = brinquiring.New(vm, domain, n.clock, n.spreading, brentry.NewWitnesses(peers))
+	n.spread.witnesses = brentry.NewWitnesses(peers)
+	n.spread.inquiring = brinquiring.New(vm, domain, n.clock, n.spreading, n.spread.witnesses)
 	n.spreading.SubscribeArchive(n.spread.archiving.States())
 	list := brvmlist.NewClient(client, platform.VMs(), platform.Timeout())
 	n.spread.membership = brmembership.New(n.clock, list, nil, n.logger)
