--- a/internal/duty/brlending/fleet_test.go
+++ b/internal/duty/brlending/fleet_test.go
@@ -194,6 +194,7 @@
 }
 
 func (v *vm) admits() bool {
+	v.admission.Confirm(time.Now())
 	request := brrequest.New("1", "GET", "/", netipAny).WithKeyHash(brrequest.HashKey("key"))
 	verdict, err := v.admission.Admit(context.Background(), request)
 	require.NoError(v.fleet.t, err)
