--- a/internal/model/brconfig/apply_test.go
+++ b/internal/model/brconfig/apply_test.go
@@ -39,7 +39,7 @@
 func checkWhole(t *rapid.T, s *brconfig.Snapshot) {
 	owned := map[string]int{}
 	holders := map[string]string{}
-	for _, kind := range brconfig.Kinds() {
+	for _, kind := range s.Kinds() {
 		for r := range s.All(kind) {
 			owned[r.Team()]++
 			for _, needed := range r.References() {
--- a/internal/model/brconfig/table.go
+++ b/internal/model/brconfig/table.go
@@ -84,6 +84,7 @@
 type store interface {
 	get(name string) broption.Option[Resource]
 	all() iter.Seq[Resource]
+	count() int
 	allAfter(name string) iter.Seq[Resource]
 	put(row Resource) (store, bool)
 	remove(name string) store
@@ -108,6 +109,8 @@
 	}
 }
 
+func (s storeOf[T]) count() int { return s.table.Len() }
+
 func (s storeOf[T]) allAfter(name string) iter.Seq[Resource] {
 	return func(yield func(Resource) bool) {
 		for row := range s.table.AllAfter(name) {
