--- a/internal/peer/brentry/lend.go
+++ b/internal/peer/brentry/lend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -19,6 +20,15 @@
 	Lend(ctx context.Context, request brloan.Request) (brloan.Loan, error)
 }
 
+// WithLending returns a handler that also answers questions for loans.
+func WithLending(next http.Handler, lender Lender) http.Handler {
+	mux := http.NewServeMux()
+	lending := brentrypb.NewLendingServer(&lendServer{lender: lender})
+	mux.Handle(lending.PathPrefix(), lending)
+	mux.Handle("/", next)
+	return mux
+}
+
 type lendServer struct {
 	lender Lender
 }
--- a/internal/peer/brentry/peer.go
+++ b/internal/peer/brentry/peer.go
@@ -42,13 +42,11 @@
 }
 
 // NewHandler returns the handler that answers other entry VMs.
-func NewHandler(clock brclock.Clock, spreading Spreading, timeline Timeline, lender Lender) http.Handler {
+func NewHandler(clock brclock.Clock, spreading Spreading, timeline Timeline) http.Handler {
 	mux := http.NewServeMux()
 	spread := brentrypb.NewSpreadServer(&spreadServer{clock: clock, spreading: spreading})
 	mux.Handle(spread.PathPrefix(), spread)
 	events := brentrypb.NewTimelineServer(&timelineServer{timeline: timeline})
 	mux.Handle(events.PathPrefix(), events)
-	lending := brentrypb.NewLendingServer(&lendServer{lender: lender})
-	mux.Handle(lending.PathPrefix(), lending)
 	return mux
 }
--- a/internal/service/brnode/spread.go
+++ b/internal/service/brnode/spread.go
@@ -63,5 +63,5 @@
 func (n *Node) peersHandler() http.Handler {
 	known := &generations{spreading: n.spreading, following: n.spread.following}
 	return brentry.WithGeneration(n.settings.VM(), known, brentry.WithWitness(
-		brentry.NewHandler(n.clock, n.spreading, n.timeline, n.admission), n.spread.witnessing))
+		brentry.WithLending(brentry.NewHandler(n.clock, n.spreading, n.timeline), n.admission), n.spread.witnessing))
 }
