Run the fates end to end over two domains, with servers that die

Cause: crossing, poison and its operators' route were checked only piece by piece.

Change: a scenario with two VMs, a platform and four servers, each a process of its own; an operators' test that lists and lifts.

--- /dev/null
+++ b/internal/peer/broperator/poison_test.go
@@ -0,0 +1,55 @@
+package broperator_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+	"bergamotroad.example/bergamotroad/internal/peer/broperator"
+)
+
+type refusal struct {
+	fingerprint brrequest.Fingerprint
+}
+
+func (r refusal) Fingerprint() brrequest.Fingerprint { return r.fingerprint }
+
+func (refusal) Until() time.Time { return time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC) }
+
+// poisoning refuses one request until it is lifted.
+type poisoning struct {
+	refusals []refusal
+}
+
+func (p *poisoning) Refusals(context.Context) ([]refusal, error) { return p.refusals, nil }
+
+func (p *poisoning) Lift(_ context.Context, fingerprint brrequest.Fingerprint) (bool, error) {
+	if len(p.refusals) == 0 || p.refusals[0].fingerprint != fingerprint {
+		return false, nil
+	}
+	p.refusals = nil
+	return true, nil
+}
+
+func TestOperatorListsAndLiftsRefusals(t *testing.T) {
+	fingerprint := brrequest.NewFingerprint("entries", "POST", "/entries", nil, 0)
+	handler, err := broperator.NewHandler(nil, nil, prometheus.NewRegistry())
+	require.NoError(t, err)
+	require.NoError(t, broperator.ServePoison(handler, &poisoning{refusals: []refusal{{fingerprint: fingerprint}}}))
+	ask := func(method, path string) *httptest.ResponseRecorder {
+		recorder := httptest.NewRecorder()
+		handler.ServeHTTP(recorder, httptest.NewRequest(method, path, nil))
+		return recorder
+	}
+	require.Contains(t, ask(http.MethodGet, "/v1/poison").Body.String(), fingerprint.String())
+	require.Equal(t, http.StatusBadRequest, ask(http.MethodDelete, "/v1/poison/7").Code)
+	require.Equal(t, http.StatusNoContent, ask(http.MethodDelete, "/v1/poison/"+fingerprint.String()).Code)
+	require.Equal(t, http.StatusNotFound, ask(http.MethodDelete, "/v1/poison/"+fingerprint.String()).Code)
+	require.NotContains(t, ask(http.MethodGet, "/v1/poison").Body.String(), fingerprint.String())
+}
--- a/internal/service/brdispatch/attempt.go
+++ b/internal/service/brdispatch/attempt.go
@@ -95,17 +95,6 @@
 	return d.pass(ctx, j, answer)
 }
 
-func (d *Dispatcher) tellPoisoning(ctx context.Context, j *job, server brconfig.Server, end ending, kind brrequest.OutcomeKind) {
-	switch {
-	case end.whole:
-		d.poisoning.Ran(j.fingerprint)
-	case kind == brrequest.OutcomeBroken && d.backend.IsDead(ctx, server):
-		d.poisoning.Killed(j.fingerprint, server.Name())
-	default:
-		d.poisoning.Ended(j.fingerprint)
-	}
-}
-
 // pass writes an answer to the caller.
 func (*Dispatcher) pass(ctx context.Context, j *job, answer *brmessage.Answer) (ending, brrequest.OutcomeKind) {
 	defer func() { _ = answer.Close() }()
--- a/internal/service/brdispatch/fake_test.go
+++ b/internal/service/brdispatch/fake_test.go
@@ -25,6 +25,13 @@
 
 var errBroken = errors.New("broken")
 
+// hastyClock is the machine's clock with timers that fire at once.
+type hastyClock struct {
+	brclock.System
+}
+
+func (c hastyClock) NewTimer(time.Duration) brclock.Timer { return c.System.NewTimer(0) }
+
 // world is a set of servers behind two dispatchers, and counts runs by request.
 type world struct {
 	t        *rapid.T
@@ -46,7 +53,7 @@
 	}
 	route := brconfig.NewRoute(brconfig.NewMeta("entries"), "ledger", "/entries").WithRepeat(repeat)
 	w.verdict = brrequest.Admit("taller-norte", route, 1)
-	clock := brclock.NewSystem()
+	clock := hastyClock{}
 	w.receiver = brdispatch.New(clock, w, w, w, w, w, w, w, w)
 	return w, brdispatch.New(clock, w, w, w, w, w, w, w, w)
 }
--- a/tests/script_test.go
+++ b/tests/script_test.go
@@ -33,7 +33,7 @@
 	testscript.Main(m, map[string]func(){
 		"bergamotroad":     func() { os.Exit(brcommand.Main(os.Args[1:], os.Stdout, os.Stderr)) },
 		"standin-platform": func() { serveUntilSignal(os.Args[1], newPlatform()) },
-		"standin-server":   func() { serveUntilSignal(os.Args[1], brserver.New(3, time.Millisecond)) },
+		"standin-server":   func() { serveUntilSignal(os.Args[1], mortal(brserver.New(3, time.Millisecond))) },
 		"call":             call,
 	})
 }
@@ -74,6 +74,16 @@
 	return mux
 }
 
+// mortal ends the process while it runs a request whose path ends in poison.
+func mortal(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/poison") {
+			os.Exit(0)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func serveUntilSignal(address string, handler http.Handler) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
