--- a/internal/decide/brshare/account.go
+++ b/internal/decide/brshare/account.go
@@ -21,10 +21,14 @@
 const (
 	// idleAfter is the time without a request after which a VM lends all it has.
 	idleAfter = time.Second
-	// seekPeriod is the least time between two searches for loans.
+	// seekPeriod is the least time from a search that brought nothing to the next.
 	seekPeriod = 100 * time.Millisecond
 	// renewAhead is how long before its end a loan is renewed.
 	renewAhead = 2 * time.Second
+	// leastLease is the shortest lease of a loan that is worth its message.
+	leastLease = 100 * time.Millisecond
+	// leastHalf is the least that a VM lends of parts that it uses itself.
+	leastHalf = Whole / 4096
 	// reserve is the number of requests for which an account keeps tokens.
 	reserve = 4
 )
@@ -92,7 +96,8 @@
 	return low && a.ledger.Usable() < Whole
 }
 
-// Low reports whether loans are to be asked for. It is true at most once a period.
+// Low reports whether loans are to be asked for. It is true once a period where
+// searches bring nothing.
 func (a *Account) Low(now time.Time) bool {
 	if now.Sub(a.sought) < seekPeriod || !a.Short(now) {
 		return false
@@ -101,9 +106,11 @@
 	return true
 }
 
-// Renewals returns the loans that are in use and end soon.
+// Renewals returns the loans that end soon and are in use, here or by those
+// they were lent on to.
 func (a *Account) Renewals(now time.Time) []LoanID {
-	if a.used.IsZero() || now.Sub(a.used) > renewAhead {
+	used := !a.used.IsZero() && now.Sub(a.used) <= renewAhead
+	if !used && len(a.ledger.debts) == 0 {
 		return nil
 	}
 	ids := []LoanID{}
@@ -141,14 +148,14 @@
 // tokens are given once only, so that they are lost if the first answer is.
 func (a *Account) Lend(id LoanID, lease time.Duration, now time.Time) Loan {
 	a.advance(now)
-	end := GiverEnd(now, lease)
 	if debt, ok := a.ledger.debts[id]; ok {
-		return a.renew(id, debt, end, now)
+		return a.renew(id, debt, GiverEnd(now, lease), now)
 	}
-	parts := a.spare(end, now)
+	lease, parts := a.offer(lease, now)
 	if parts <= 0 {
 		return Loan{}
 	}
+	end := GiverEnd(now, lease)
 	tokens := min(a.bucket.level, a.limit.BurstOf(parts))
 	a.bucket.level -= tokens
 	debt := entry[Parts]{amount: parts, lease: lease, end: end}
@@ -160,7 +167,7 @@
 // renew extends a debt where the grants behind it last as long and the VM does
 // not need it back.
 func (a *Account) renew(id LoanID, debt entry[Parts], end, now time.Time) Loan {
-	backed := a.ledger.granted(end) >= a.ledger.lent()
+	backed := a.ledger.backing(end) >= a.ledger.lent()
 	short := now.Sub(a.used) < idleAfter && a.bucket.level < a.needed
 	if !backed || short {
 		return Loan{}
@@ -187,6 +194,7 @@
 	}
 	a.ledger.borrow(attempt.id, entry[Parts]{amount: loan.Parts(), lease: loan.Lease(), end: end})
 	a.share(now)
+	a.sought = time.Time{}
 	if loan.Denomination() != a.limit.denomination {
 		return true
 	}
@@ -195,14 +203,35 @@
 	return true
 }
 
+// offer returns a lease of at most the wanted length and the parts to lend for
+// it. What was borrowed ends soon: a shorter lease is offered where it brings
+// at least twice the parts.
+func (a *Account) offer(lease time.Duration, now time.Time) (time.Duration, Parts) {
+	parts := a.spare(GiverEnd(now, lease), now)
+	for shorter := lease / 2; shorter >= leastLease; shorter /= 2 {
+		if more := a.spare(GiverEnd(now, shorter), now); more > 2*parts {
+			lease, parts = shorter, more
+		}
+	}
+	return lease, parts
+}
+
 func (a *Account) spare(end, now time.Time) Parts {
 	lendable := min(a.ledger.Lendable(end), a.ledger.Usable())
 	if !a.used.IsZero() && now.Sub(a.used) < idleAfter {
-		return lendable / 2
+		return half(lendable)
 	}
 	return lendable
 }
 
+// half returns half of the parts, or none where that is not worth a message.
+func half(parts Parts) Parts {
+	if parts/2 < leastHalf {
+		return 0
+	}
+	return parts / 2
+}
+
 // advance brings the account to the time, one lapsed lease after the other, so
 // that nothing accrues on parts whose lease has ended.
 func (a *Account) advance(now time.Time) {
--- a/internal/duty/brlending/fleet_test.go
+++ b/internal/duty/brlending/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -68,12 +69,18 @@
 	return nil
 }
 
+func (m *memoryTable) count() int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.commits
+}
+
 // fleet is a number of VMs with their duties, joined by a network with delays.
 type fleet struct {
 	t     *testing.T
 	table *memoryTable
 	vms   []*vm
-	cut   map[string]bool // failure domains that are cut off from all else
+	cut   sync.Map // failure domains that are cut off from all else
 }
 
 type vm struct {
@@ -84,7 +91,7 @@
 	tenancy   *brtenancy.Tenancy
 	lending   *brlending.Lending
 	group     *brduty.Group
-	down      bool
+	down      atomic.Bool
 }
 
 // cutTable is the table as a VM sees it.
@@ -95,7 +102,7 @@
 
 func (c cutTable) Read(ctx context.Context, key string) (brtable.Row, error) {
 	time.Sleep(remoteDelay)
-	if c.vm.fleet.cut[c.vm.domain] {
+	if c.vm.fleet.isCut(c.vm.domain) {
 		return brtable.Row{}, brtable.NewErrUnavailable(errCut)
 	}
 	return c.memoryTable.Read(ctx, key)
@@ -103,7 +110,7 @@
 
 func (c cutTable) Commit(ctx context.Context, transaction brtable.Transaction) error {
 	time.Sleep(remoteDelay)
-	if c.vm.fleet.cut[c.vm.domain] {
+	if c.vm.fleet.isCut(c.vm.domain) {
 		return brtable.NewErrUnavailable(errCut)
 	}
 	return c.memoryTable.Commit(ctx, transaction)
@@ -118,8 +125,8 @@
 		delay = remoteDelay
 	}
 	time.Sleep(delay)
-	cut := p.from.domain != p.to.domain && (p.from.fleet.cut[p.from.domain] || p.from.fleet.cut[p.to.domain])
-	if p.to.down || cut {
+	cut := p.from.domain != p.to.domain && (p.from.fleet.isCut(p.from.domain) || p.from.fleet.isCut(p.to.domain))
+	if p.to.down.Load() || cut {
 		<-ctx.Done()
 		return brloan.Loan{}, errCut
 	}
@@ -132,7 +139,7 @@
 func (silent) DutyPanicked(string, any, []byte) {}
 
 func newFleet(t *testing.T, count, domains int, snapshot *brconfig.Snapshot) *fleet {
-	f := &fleet{t: t, table: &memoryTable{rows: map[string]brtable.Row{}}, cut: map[string]bool{}}
+	f := &fleet{t: t, table: &memoryTable{rows: map[string]brtable.Row{}}}
 	for i := range count {
 		f.vms = append(f.vms, &vm{fleet: f, name: fmt.Sprint("vm-", i), domain: fmt.Sprint("domain-", i%domains)})
 	}
@@ -154,6 +161,7 @@
 	v.admission.SeekFrom(v.lending)
 	v.group = brduty.NewGroup(context.Background(), clock, silent{})
 	v.group.Start(v.admission.Duty(), v.tenancy.Duty(), v.lending.Duty())
+	v.admission.Confirm(clock.Now())
 	_ = v.admission.Snapshots().Send(snapshot)
 	_ = v.lending.Snapshots().Send(snapshot)
 	_ = v.tenancy.Snapshots().Send(snapshot)
@@ -168,6 +176,11 @@
 	return nil
 }
 
+func (f *fleet) isCut(domain string) bool {
+	_, cut := f.cut.Load(domain)
+	return cut
+}
+
 func (f *fleet) stop() {
 	for _, v := range f.vms {
 		v.group.Stop()
@@ -176,7 +189,7 @@
 
 // crash stops a VM without notice.
 func (v *vm) crash() {
-	v.down = true
+	v.down.Store(true)
 	v.group.Stop()
 }
 
@@ -197,7 +210,7 @@
 	hash := brrequest.HashKey("key")
 	changes := []brconfig.Change{
 		brconfig.Put(brconfig.NewRegion(meta("region"))),
-		brconfig.Put(brconfig.NewOrganisation(meta("taller"))),
+		brconfig.Put(brconfig.NewOrganisation(meta("taller")).WithKeyAge(24 * time.Hour)),
 		brconfig.Put(brconfig.NewKey(meta("key"), "taller", fmt.Sprintf("%x", hash[:]))),
 		brconfig.Put(brconfig.NewUnit(meta("unit"), amount("1"))),
 		brconfig.Put(brconfig.NewContract(meta("contract"), "taller", "unit", amount(rate), period, amount(burst))),
@@ -231,6 +244,15 @@
 	return sent, refused
 }
 
+// runUntil sends requests to the last VM and tells the verdict on each.
+func (f *fleet) runUntil(d, interval time.Duration, tell func(elapsed time.Duration, admitted bool)) {
+	begin := time.Now()
+	for next := time.Duration(0); next < d; next += interval {
+		time.Sleep(time.Until(begin.Add(next)))
+		tell(next, f.vms[len(f.vms)-1].admits())
+	}
+}
+
 func inBubble(t *testing.T, count, domains int, rate, burst string, period time.Duration, test func(t *testing.T, f *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/service/brnode/node.go
+++ b/internal/service/brnode/node.go
@@ -18,9 +18,11 @@
 	"bergamotroad.example/bergamotroad/internal/duty/bradmission"
 	"bergamotroad.example/bergamotroad/internal/duty/brbalancing"
 	"bergamotroad.example/bergamotroad/internal/duty/brpolling"
+	"bergamotroad.example/bergamotroad/internal/duty/brrevoking"
 	"bergamotroad.example/bergamotroad/internal/duty/brspreading"
 	"bergamotroad.example/bergamotroad/internal/duty/brsteering"
 	"bergamotroad.example/bergamotroad/internal/duty/brtimeline"
+	"bergamotroad.example/bergamotroad/internal/duty/brwriting"
 	"bergamotroad.example/bergamotroad/internal/model/brevent"
 	"bergamotroad.example/bergamotroad/internal/service/brsettings"
 )
@@ -35,7 +37,9 @@
 	balancing *brbalancing.Balancing
 	steering  *brsteering.Steering
 	spreading *brspreading.Spreading
+	revoking  *brrevoking.Revoking
 	polling   *brpolling.Polling
+	writing   *brwriting.Writing
 	requests  requestDuties
 	shares    shares
 	spread    spread
@@ -50,9 +54,15 @@
 	n.balancing = brbalancing.New(settings.VM(), settings.Domain(), clock)
 	n.steering = brsteering.New(clock)
 	n.spreading = brspreading.New(clock, n.timeline)
+	n.revoking = brrevoking.New(clock)
 	n.spreading.Subscribe(n.admission.Snapshots())
+	n.spreading.Subscribe(n.revoking.Snapshots())
+	n.spreading.SubscribeConfirmed(n.admission)
+	n.spreading.SubscribeConfirmed(n.revoking)
 	n.spreading.Subscribe(n.balancing.Snapshots())
 	n.spreading.Subscribe(n.steering.Snapshots())
+	n.writing = brwriting.New(clock)
+	n.spreading.Subscribe(n.writing.Snapshots())
 	n.requests = newRequestDuties(settings, clock, n.timeline)
 	n.requests.subscribe(n.spreading)
 	n.addShares()
