--- a/internal/peer/broperator/poison_test.go
+++ b/internal/peer/broperator/poison_test.go
@@ -10,6 +10,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brprincipal"
 	"bergamotroad.example/bergamotroad/internal/model/brrequest"
 	"bergamotroad.example/bergamotroad/internal/peer/broperator"
 )
@@ -37,16 +39,32 @@
 	return true, nil
 }
 
+// administration knows one token, of an editor of the platform.
+type administration struct {
+	broperator.Administration
+}
+
+func (administration) Identify(_ context.Context, token string) (brprincipal.Principal, error) {
+	if token != "editor" {
+		return brprincipal.New("viewer", "", brconfig.RoleViewer), nil
+	}
+	return brprincipal.New("editor", "", brconfig.RoleEditor), nil
+}
+
 func TestOperatorListsAndLiftsRefusals(t *testing.T) {
 	fingerprint := brrequest.NewFingerprint("entries", "POST", "/entries", nil, 0)
-	handler, err := broperator.NewHandler(nil, nil, prometheus.NewRegistry())
+	handler, err := broperator.NewHandler("vm-1", administration{}, nil, prometheus.NewRegistry())
 	require.NoError(t, err)
 	require.NoError(t, broperator.ServePoison(handler, &poisoning{refusals: []refusal{{fingerprint: fingerprint}}}))
-	ask := func(method, path string) *httptest.ResponseRecorder {
+	askAs := func(token, method, path string) *httptest.ResponseRecorder {
 		recorder := httptest.NewRecorder()
-		handler.ServeHTTP(recorder, httptest.NewRequest(method, path, nil))
+		request := httptest.NewRequest(method, path, nil)
+		request.Header.Set("Authorization", "Bearer "+token)
+		handler.ServeHTTP(recorder, request)
 		return recorder
 	}
+	ask := func(method, path string) *httptest.ResponseRecorder { return askAs("editor", method, path) }
+	require.Equal(t, http.StatusForbidden, askAs("viewer", http.MethodDelete, "/v1/poison/"+fingerprint.String()).Code)
 	require.Contains(t, ask(http.MethodGet, "/v1/poison").Body.String(), fingerprint.String())
 	require.Equal(t, http.StatusBadRequest, ask(http.MethodDelete, "/v1/poison/7").Code)
 	require.Equal(t, http.StatusNoContent, ask(http.MethodDelete, "/v1/poison/"+fingerprint.String()).Code)
--- a/internal/service/brdispatch/fake_test.go
+++ b/internal/service/brdispatch/fake_test.go
@@ -54,14 +54,18 @@
 	route := brconfig.NewRoute(brconfig.NewMeta("entries"), "ledger", "/entries").WithRepeat(repeat)
 	w.verdict = brrequest.Admit("taller-norte", route, 1)
 	clock := hastyClock{}
-	w.receiver = brdispatch.New(clock, w, w, w, w, w, w, w, w)
-	return w, brdispatch.New(clock, w, w, w, w, w, w, w, w)
+	w.receiver = brdispatch.New(clock, w, w, w, w, w, w, w, w, w)
+	return w, brdispatch.New(clock, w, w, w, w, w, w, w, w, w)
 }
 
 func (w *world) Admit(context.Context, brrequest.Request) (brrequest.Verdict, error) {
 	return w.verdict, nil
 }
 
+func (*world) Guard(ctx context.Context, _ brrequest.KeyHash) (context.Context, context.CancelFunc, error) {
+	return ctx, func() {}, nil
+}
+
 func (w *world) Pick(_ context.Context, placement brrequest.Placement) (brconfig.Server, error) {
 	if rapid.IntRange(0, 3).Draw(w.t, "busy") == 0 {
 		return brconfig.Server{}, errBroken
