--- a/internal/peer/broperator/handler.go
+++ b/internal/peer/broperator/handler.go
@@ -31,6 +31,8 @@
 	Apply(ctx context.Context, operation bradministration.Operation) (bradministration.Outcome, error)
 	// Plan tells what an operation would alter.
 	Plan(ctx context.Context, operation bradministration.Operation) (bradministration.Plan, error)
+	// Ready returns why the VM can't serve callers yet, or nil.
+	Ready(ctx context.Context) error
 	// Snapshot returns the configuration that this VM holds.
 	Snapshot(ctx context.Context) (*brconfig.Snapshot, error)
 	// Past returns the configuration at an old generation.
@@ -80,10 +82,9 @@
 
 // readiness answers 200 once a configuration is in force.
 func (h *Handler) readiness(ctx iris.Context) {
-	snapshot, err := h.administration.Snapshot(ctx.Request().Context())
-	if err != nil || snapshot.Generation() == 0 {
+	if err := h.administration.Ready(ctx.Request().Context()); err != nil {
 		ctx.StatusCode(http.StatusServiceUnavailable)
-		_, _ = ctx.WriteString("no configuration is in force\n")
+		_, _ = ctx.WriteString(err.Error() + "\n")
 		return
 	}
 	_, _ = ctx.WriteString("ready\n")
