--- a/internal/codec/brdocument/entry.go
+++ b/internal/codec/brdocument/entry.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -17,6 +18,8 @@
 	JournalPage = 100
 	// maxEntryReferences bounds the resources that an entry names.
 	maxEntryReferences = 64
+	// maxSummaryReferences bounds the resources that a summary names.
+	maxSummaryReferences = 3
 )
 
 // OperationKey returns the key of the row that an accepted operation leaves.
@@ -88,6 +91,19 @@
 // Count returns the number of changed resources.
 func (e Entry) Count() int { return e.count }
 
+// Summary names a few of the changed resources and counts the others.
+func (e Entry) Summary() string {
+	named := e.references[:min(len(e.references), maxSummaryReferences)]
+	parts := make([]string, 0, len(named)+1)
+	for _, r := range named {
+		parts = append(parts, r.String())
+	}
+	if more := e.count - len(named); more > 0 {
+		parts = append(parts, fmt.Sprintf("and %d more", more))
+	}
+	return strings.Join(parts, " ")
+}
+
 // Touches reports whether the change altered a resource, or may have: an entry
 // that does not name all resources may have altered any.
 func (e Entry) Touches(reference brconfig.Reference) bool {
--- a/internal/model/brevent/change.go
+++ b/internal/model/brevent/change.go
@@ -6,5 +6,4 @@
 	KindChangeDenied   Kind = "change-denied"
 	KindChangeRefused  Kind = "change-refused"
 	KindChangeUnknown  Kind = "change-outcome-unknown"
-	KindAccessDenied   Kind = "access-denied"
 )
--- a/internal/service/bradministration/access.go
+++ b/internal/service/bradministration/access.go
@@ -9,7 +9,6 @@
 
 	"github.com/go-faster/errors"
 
-	"bergamotroad.example/bergamotroad/internal/model/brevent"
 	"bergamotroad.example/bergamotroad/internal/model/brprincipal"
 )
 
@@ -32,7 +31,6 @@
 	}
 	principal, ok := a.policy.Identify(snapshot, hash).Get()
 	if !ok {
-		a.events.Record(brevent.New(brevent.KindAccessDenied))
 		return brprincipal.Principal{}, ErrUnidentified{}
 	}
 	return principal, nil
--- a/internal/service/bradministration/apply.go
+++ b/internal/service/bradministration/apply.go
@@ -98,7 +98,12 @@
 	if err != nil {
 		return Outcome{}, err
 	}
-	return Outcome{generation: entry.Generation(), operation: operation.id, warnings: warnings}, nil
+	return Outcome{
+		generation: entry.Generation(),
+		operation:  operation.id,
+		changed:    entry.Summary(),
+		warnings:   warnings,
+	}, nil
 }
 
 func repeated(operation Operation, entry brdocument.Entry) (Outcome, error) {
--- a/internal/service/bradministration/audit.go
+++ b/internal/service/bradministration/audit.go
@@ -20,6 +20,9 @@
 	if outcome.repeated {
 		event = event.WithDetail("repeated", "true")
 	}
+	if outcome.changed != "" {
+		event = event.WithDetail("changed", outcome.changed)
+	}
 	a.events.Record(event.WithDetail("generation", strconv.FormatUint(outcome.generation, 10)))
 }
 
--- a/internal/service/bradministration/operation.go
+++ b/internal/service/bradministration/operation.go
@@ -55,6 +55,7 @@
 	generation uint64
 	operation  string
 	repeated   bool
+	changed    string
 	warnings   []string
 }
 
