Keep an administrator of the platform among the tokens

Cause: a change could leave tokens of which none may grant another for the platform; nobody could have mended that by the API. Change: such a change is refused. Who is identified by which token has a test. Conclusion: TestLastAdministratorOfThePlatformStays.

--- a/internal/decide/braccess/access_test.go
+++ b/internal/decide/braccess/access_test.go
@@ -56,3 +56,50 @@
 		require.Equal(t, !c.allowed, braccess.IsErrDenied(err), c.name)
 	}
 }
+
+func TestLastAdministratorOfThePlatformStays(t *testing.T) {
+	team := brconfig.Put(brconfig.NewTeam(meta("azul", "")))
+	root := brconfig.Put(brconfig.NewToken(meta("root", ""), "01", brconfig.RoleAdministrator))
+	ana := brconfig.Put(brconfig.NewToken(meta("ana", "azul"), "02", brconfig.RoleAdministrator))
+	withdraw := func(name string) brconfig.Change {
+		return brconfig.Delete(brconfig.NewReference(brconfig.KindToken, name))
+	}
+	for _, c := range []struct {
+		changes []brconfig.Change
+		allowed bool
+	}{
+		{[]brconfig.Change{team, ana}, false},
+		{[]brconfig.Change{team, root, ana}, true},
+		{[]brconfig.Change{team, root, ana, withdraw("root")}, false},
+		{[]brconfig.Change{team, root, ana, withdraw("root"), withdraw("ana")}, true},
+		{[]brconfig.Change{team}, true},
+	} {
+		next, err := brconfig.NewSnapshot().Apply(1, c.changes)
+		require.NoError(t, err)
+		require.Equal(t, c.allowed, braccess.CheckLockout(next, c.changes) == nil)
+	}
+}
+
+// A token counts for its holder only, and the bootstrap's only while there is no other.
+func TestOperatorsAreIdentifiedByTheirTokens(t *testing.T) {
+	policy := braccess.NewPolicy().WithBootstrap("00")
+	empty := brconfig.NewSnapshot()
+	first, ok := policy.Identify(empty, "00").Get()
+	require.True(t, ok)
+	require.True(t, first.IsPlatform())
+	require.False(t, policy.Identify(empty, "").IsPresent())
+	require.False(t, policy.Identify(empty, "01").IsPresent())
+	require.False(t, braccess.NewPolicy().Identify(empty, "").IsPresent())
+
+	snapshot, err := empty.Apply(1, []brconfig.Change{brconfig.Put(brconfig.NewToken(meta("root", ""), "01", brconfig.RoleEditor))})
+	require.NoError(t, err)
+	require.False(t, policy.Identify(snapshot, "00").IsPresent())
+	require.False(t, policy.Confirms(snapshot, first))
+	root, ok := policy.Identify(snapshot, "01").Get()
+	require.True(t, ok)
+	require.Equal(t, "root", root.Name())
+	require.True(t, policy.Confirms(snapshot, root))
+	changed, err := snapshot.Apply(2, []brconfig.Change{brconfig.Put(brconfig.NewToken(meta("root", ""), "01", brconfig.RoleViewer))})
+	require.NoError(t, err)
+	require.False(t, policy.Confirms(changed, root))
+}
--- a/internal/service/bradministration/apply.go
+++ b/internal/service/bradministration/apply.go
@@ -136,6 +136,9 @@
 	if err != nil {
 		return nil, nil, errors.Errorf("check change: %w", err)
 	}
+	if err := braccess.CheckLockout(next, changes); err != nil {
+		return nil, nil, errors.Errorf("check tokens: %w", err)
+	}
 	if err := brcheck.Quotas(snapshot, next, changes); err != nil {
 		return nil, nil, errors.Errorf("check limits: %w", err)
 	}
--- a/internal/service/bradministration/error.go
+++ b/internal/service/bradministration/error.go
@@ -155,7 +155,7 @@
 
 // IsErrRefused reports whether a change was refused for what it holds.
 func IsErrRefused(err error) bool {
-	return IsErrContract(err) || brcheck.IsErrInvalid(err) || brcheck.IsErrTooMany(err) || brselect.IsErrContradiction(err)
+	return IsErrContract(err) || braccess.IsErrLockout(err) || brcheck.IsErrInvalid(err) || brcheck.IsErrTooMany(err) || brselect.IsErrContradiction(err)
 }
 
 // Fault is what is wrong with one field of a resource.
