--- /dev/null
+++ b/internal/peer/brentry/connector.go
@@ -0,0 +1,78 @@
+package brentry
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/duty/brcertificate"
+)
+
+const (
+	dialTimeout         = time.Second
+	handshakeTimeout    = 2 * time.Second
+	idleTimeout         = time.Minute
+	idleConnections     = 2 // for each VM
+	maxReplyHeaderBytes = 64 << 10
+)
+
+// Connector makes the connections to other entry VMs, for all that is said to
+// them. The scheme of their URLs is http in any case: whether a connection is
+// secured is the connector's matter alone.
+type Connector struct {
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// NewPlainConnector returns a connector that speaks plain TCP.
+func NewPlainConnector() *Connector {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Connector{dial: dialer.DialContext}
+}
+
+// NewConnector returns a connector that speaks mutual TLS. Other VMs'
+// certificates must hold the server name, or the IP number that is called where
+// the name is "".
+func NewConnector(keeper *brcertificate.Keeper, serverName string) *Connector {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Connector{dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+		name, err := expectedName(serverName, address)
+		if err != nil {
+			return nil, err
+		}
+		ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+		defer cancel()
+		secured := &tls.Dialer{NetDialer: dialer, Config: keeper.ClientConfig(name)}
+		return secured.DialContext(ctx, network, address)
+	}}
+}
+
+func expectedName(serverName, address string) (string, error) {
+	if serverName != "" {
+		return serverName, nil
+	}
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return "", errors.Errorf("split address of VM: %w", err)
+	}
+	return host, nil
+}
+
+// Dial makes one connection.
+func (c *Connector) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	return c.dial(ctx, network, address)
+}
+
+// Transport returns a new transport over the connector.
+func (c *Connector) Transport() *http.Transport {
+	return &http.Transport{
+		DialContext:            c.dial,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    idleConnections,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxReplyHeaderBytes,
+	}
+}
--- a/internal/service/brnode/spread.go
+++ b/internal/service/brnode/spread.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"bergamotroad.example/bergamotroad/internal/duty/brarchiving"
 	"bergamotroad.example/bergamotroad/internal/duty/brfollowing"
@@ -17,12 +16,6 @@
 	"bergamotroad.example/bergamotroad/internal/peer/brvmlist"
 )
 
-const (
-	// peerConnectionsIdle bounds the idle connections to one other VM.
-	peerConnectionsIdle = 2
-	peerIdleTimeout     = time.Minute
-)
-
 // spread is the duties that bring the configuration, beside the poller.
 type spread struct {
 	following  *brfollowing.Following
@@ -49,8 +42,7 @@
 	platform := n.settings.Platform()
 	n.polling = brpolling.New(vm, domain, n.clock, table, objects, n.spreading, n.logger)
 	known := &generations{spreading: n.spreading}
-	transport := &http.Transport{MaxIdleConnsPerHost: peerConnectionsIdle, IdleConnTimeout: peerIdleTimeout}
-	peers := &http.Client{Transport: brentry.NewTransport(vm, known, transport)}
+	peers := &http.Client{Transport: brentry.NewTransport(vm, known, n.connector.Transport())}
 	pool := brentry.NewPool(peers)
 	n.spread.following = brfollowing.New(vm, domain, n.clock, pool, n.spreading, n.polling, n.logger)
 	known.following = n.spread.following
