--- a/internal/peer/broperator/handler.go
+++ b/internal/peer/broperator/handler.go
@@ -25,14 +25,14 @@
 
 // Administration changes and reads the configuration.
 type Administration interface {
-	// Ready returns why the VM can't serve callers yet, or nil.
-	Ready(ctx context.Context) error
 	// Identify returns the operator who shows a token, or "" for none.
 	Identify(ctx context.Context, token string) (brprincipal.Principal, error)
 	// Apply makes one change of an operation, once.
 	Apply(ctx context.Context, operation bradministration.Operation) (bradministration.Outcome, error)
 	// Plan tells what an operation would alter.
 	Plan(ctx context.Context, operation bradministration.Operation) (bradministration.Plan, error)
+	// Ready returns why the VM can't serve callers yet, or nil.
+	Ready(ctx context.Context) error
 	// Snapshot returns the configuration that this VM holds.
 	Snapshot(ctx context.Context) (*brconfig.Snapshot, error)
 	// Past returns the configuration at an old generation.
--- a/internal/service/bradministration/apply.go
+++ b/internal/service/bradministration/apply.go
@@ -98,7 +98,12 @@
 	if err != nil {
 		return Outcome{}, err
 	}
-	return Outcome{generation: entry.Generation(), operation: operation.id, warnings: warnings}, nil
+	return Outcome{
+		generation: entry.Generation(),
+		operation:  operation.id,
+		changed:    entry.Summary(),
+		warnings:   warnings,
+	}, nil
 }
 
 func repeated(operation Operation, entry brdocument.Entry) (Outcome, error) {
@@ -131,6 +136,9 @@
 	if err != nil {
 		return nil, nil, errors.Errorf("check change: %w", err)
 	}
+	if err := braccess.CheckLockout(next, changes); err != nil {
+		return nil, nil, errors.Errorf("check tokens: %w", err)
+	}
 	if err := brcheck.Quotas(snapshot, next, changes); err != nil {
 		return nil, nil, errors.Errorf("check limits: %w", err)
 	}
--- a/internal/service/bradministration/operation.go
+++ b/internal/service/bradministration/operation.go
@@ -65,6 +65,7 @@
 	generation uint64
 	operation  string
 	repeated   bool
+	changed    string
 	warnings   []string
 }
 
