--- a/internal/service/brfront/answer.go
+++ b/internal/service/brfront/answer.go
@@ -24,6 +24,7 @@
 	a := &answer{ResponseWriter: w, control: http.NewResponseController(w), clock: clock, closing: closing}
 	// The deadline of an earlier answer on the connection is not for this one.
 	_ = a.control.SetWriteDeadline(time.Time{})
+	a.announce()
 	return a
 }
 
@@ -61,6 +62,12 @@
 		return
 	}
 	a.started = true
+	a.announce()
+}
+
+// announce says that the connection closes. It is said again where the answer
+// begins, since the handler may have set the fields anew.
+func (a *answer) announce() {
 	if a.closing {
 		a.Header().Set("Connection", "close")
 	}
--- a/internal/service/brfront/guard.go
+++ b/internal/service/brfront/guard.go
@@ -14,8 +14,13 @@
 	"bergamotroad.example/bergamotroad/internal/service/brsettings"
 )
 
-// ReasonPanicked says that the handler of a request panicked.
-const ReasonPanicked brrequest.Reason = "handler-panicked"
+// Reasons of answers of a front itself.
+const (
+	// ReasonPanicked says that the handler of a request panicked.
+	ReasonPanicked brrequest.Reason = "handler-panicked"
+	// ReasonOldProtocol says that a request came by HTTP/1.0.
+	ReasonOldProtocol brrequest.Reason = "old-protocol"
+)
 
 // retryAfter is when a client that met a full front should try again.
 const retryAfter = time.Second
@@ -52,6 +57,12 @@
 		g.parts.refuse(answer, http.StatusServiceUnavailable, brrequest.FateNotRun, brrequest.ReasonOverloaded, retryAfter)
 		return
 	}
+	if !r.ProtoAtLeast(1, 1) {
+		// HTTP/1.0 marks the end of an answer by nothing but the end of the
+		// connection, so that a cut one looks whole.
+		g.parts.refuse(answer, http.StatusHTTPVersionNotSupported, brrequest.FateNotRun, ReasonOldProtocol, 0)
+		return
+	}
 	if r.ContentLength > g.limits.BodyBytes() {
 		g.parts.refuse(answer, http.StatusRequestEntityTooLarge, brrequest.FateNotRun, brrequest.ReasonBodyTooLarge, 0)
 		return
--- /dev/null
+++ b/internal/service/brnode/node_test.go
@@ -0,0 +1,137 @@
+package brnode
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/duty/brcertificate"
+	"bergamotroad.example/bergamotroad/internal/service/brsettings"
+	"bergamotroad.example/bergamotroad/internal/service/brstop"
+	"bergamotroad.example/bergamotroad/internal/standin/brauthority"
+	"bergamotroad.example/bergamotroad/internal/standin/brplatform"
+)
+
+const plain = `"plain": true`
+
+// newNode returns a VM over a stand-in platform; secured is what each front
+// says of TLS.
+func newNode(t *testing.T, secured, peersSecured string) *Node {
+	t.Helper()
+	faults := brplatform.NewFaults()
+	mux := http.NewServeMux()
+	mux.Handle("/v3/kv/", brplatform.NewTable(faults))
+	mux.Handle("/objects/", http.StripPrefix("/objects", brplatform.NewObjects(faults)))
+	mux.Handle("/vms", brplatform.NewVMs(faults))
+	platform := httptest.NewServer(mux)
+	t.Cleanup(platform.Close)
+	settings, err := brsettings.Parse(fmt.Appendf(nil, `{
+	  "vm": "vm-1", "domain": "a", "drain": {"lookups": "0s"},
+	  "callers": {"address": %q, %s}, "peers": {"address": %q, %s},
+	  "operators": {"address": %q, %s, "openAdministration": true},
+	  "platform": {"table": %q, "objects": %q, "vms": %q}}`,
+		freeAddress(t), secured, freeAddress(t), peersSecured, freeAddress(t), secured,
+		platform.URL, platform.URL+"/objects", platform.URL+"/vms"))
+	require.NoError(t, err)
+	node, err := New(settings, brclock.NewSystem(), log.New(io.Discard))
+	require.NoError(t, err)
+	t.Cleanup(node.closeFronts)
+	return node
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// run runs the VM and returns the function that stops it and what Run returned.
+func run(t *testing.T, node *Node) (stop context.CancelFunc, ended <-chan error) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	result := make(chan error, 1)
+	go func() { result <- node.Run(ctx) }()
+	return cancel, result
+}
+
+func TestPanicOfADutyEndsTheVM(t *testing.T) {
+	node := newNode(t, plain, plain)
+	node.spreading.Subscribe(nil) // makes the duty panic at the first snapshot
+	_, ended := run(t, node)
+	body := `[{"kind": "region", "name": "montevideo"}]`
+	response, err := http.Post("http://"+node.settings.Operators().Address()+"/v1/apply", "application/json", strings.NewReader(body))
+	if err == nil {
+		_ = response.Body.Close()
+	}
+	require.ErrorContains(t, <-ended, `duty "spreading" panicked`)
+}
+
+func TestLeavingVMSaysSoAndServesOn(t *testing.T) {
+	node := newNode(t, plain, plain)
+	status := make(chan int, 2)
+	node.OnLeave(brstop.NewStep("look", time.Minute, func(context.Context) error {
+		for _, path := range []string{"/readyz", "/healthz"} {
+			response, err := http.Get("http://" + node.settings.Operators().Address() + path)
+			if err != nil {
+				return err
+			}
+			_ = response.Body.Close()
+			status <- response.StatusCode
+		}
+		return nil
+	}))
+	stop, ended := run(t, node)
+	stop()
+	require.NoError(t, <-ended)
+	require.Equal(t, http.StatusServiceUnavailable, <-status)
+	require.Equal(t, http.StatusOK, <-status)
+}
+
+func TestFrontsSpeakTLSAndPeersKnowEachOther(t *testing.T) {
+	folder := t.TempDir()
+	path := func(name string) string { return filepath.Join(folder, name) }
+	authority, err := brauthority.New("vms")
+	require.NoError(t, err)
+	require.NoError(t, authority.WriteCertificate(path("ca.pem")))
+	require.NoError(t, authority.Issue(path("vm.pem"), path("vm.key"), "127.0.0.1"))
+	secured := fmt.Sprintf(`"tls": {"certificate": %q, "key": %q}`, path("vm.pem"), path("vm.key"))
+	mutual := fmt.Sprintf(`"tls": {"certificate": %q, "key": %q, "clientCA": %q}`, path("vm.pem"), path("vm.key"), path("ca.pem"))
+	node := newNode(t, secured, mutual)
+	stop, ended := run(t, node)
+
+	keeper, err := brcertificate.NewKeeper(brcertificate.NewFiles(path("vm.pem"), path("vm.key"), path("ca.pem")))
+	require.NoError(t, err)
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: keeper.ClientConfig("127.0.0.1"), DisableKeepAlives: true}}
+	response, err := client.Get("https://" + node.settings.Operators().Address() + "/healthz")
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusOK, response.StatusCode)
+
+	peers := node.settings.Peers().Address()
+	anyone := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}}
+	_, err = anyone.Get("https://" + peers)
+	require.Error(t, err, "a client without a certificate of the VMs' authority")
+
+	transport := node.connector.Transport()
+	transport.DisableKeepAlives = true
+	response, err = (&http.Client{Transport: transport}).Get("http://" + peers + "/nothing")
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusNotFound, response.StatusCode)
+	stop()
+	require.NoError(t, <-ended)
+}
--- a/tests/script_test.go
+++ b/tests/script_test.go
@@ -33,7 +33,7 @@
 	testscript.Main(m, map[string]func(){
 		"bergamotroad":     func() { os.Exit(brcommand.Main(os.Args[1:], os.Stdout, os.Stderr)) },
 		"standin-platform": func() { serveUntilSignal(os.Args[1], newPlatform()) },
-		"standin-server":   func() { serveUntilSignal(os.Args[1], brserver.New(3, time.Millisecond)) },
+		"standin-server":   standinServer,
 		"call":             call,
 	})
 }
@@ -74,6 +74,14 @@
 	return mux
 }
 
+// standinServer serves at an address: standin-server [-service DURATION] ADDRESS.
+func standinServer() {
+	flags := flag.NewFlagSet("standin-server", flag.ExitOnError)
+	service := flags.Duration("service", time.Millisecond, "time of one request")
+	_ = flags.Parse(os.Args[1:])
+	serveUntilSignal(flags.Arg(0), brserver.New(3, *service))
+}
+
 func serveUntilSignal(address string, handler http.Handler) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
