--- /dev/null
+++ b/internal/peer/brcaller/target.go
@@ -0,0 +1,26 @@
+package brcaller
+
+import (
+	"net/url"
+	"path"
+	"strings"
+)
+
+// isAmbiguous reports whether routes and servers could read a path in
+// different ways: dot segments, empty segments, backslashes, control
+// characters, and encoded slashes.
+func isAmbiguous(target *url.URL) bool {
+	plain := target.Path
+	if strings.ContainsFunc(plain, isUnsafe) {
+		return true
+	}
+	encoded := strings.ToLower(target.EscapedPath())
+	if strings.Contains(encoded, "%2f") {
+		return true
+	}
+	return strings.TrimSuffix(plain, "/") != strings.TrimSuffix(path.Clean("/"+plain), "/") || strings.HasSuffix(plain, "//")
+}
+
+func isUnsafe(r rune) bool {
+	return r < ' ' || r == 0x7f || r == '\\'
+}
--- /dev/null
+++ b/internal/service/brdispatch/bodylimit_test.go
@@ -0,0 +1,28 @@
+package brdispatch
+
+import (
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"bergamotroad.example/bergamotroad/internal/model/brmessage"
+	_ "bergamotroad.example/bergamotroad/internal/standin/brseed"
+)
+
+func TestStreamedBodyEndsAtTheLimitOfItsRoute(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(0, 100).Draw(t, "size")
+		most := rapid.IntRange(0, 100).Draw(t, "most")
+		call := brmessage.NewCall("POST", "/", brmessage.NewFields(nil), strings.NewReader(strings.Repeat("a", size)), -1)
+		read, err := io.ReadAll(limited(call, int64(most)).Body())
+		require.Len(t, read, min(size, most))
+		if size > most {
+			require.ErrorIs(t, err, errBodyTooLarge)
+		} else {
+			require.NoError(t, err)
+		}
+	})
+}
--- a/internal/service/brdispatch/dispatcher.go
+++ b/internal/service/brdispatch/dispatcher.go
@@ -169,6 +169,9 @@
 	if !j.verdict.Admitted() {
 		return d.finish(j, refusal(j.verdict.Reason(), j.verdict.RetryAfter()))
 	}
+	if j.call.Size() > j.route().MaxBody() {
+		return d.finish(j, refusal(brrequest.ReasonBodyTooLarge, 0))
+	}
 	d.record(brevent.KindRequestAdmitted, j)
 	ctx, cancel := context.WithTimeout(ctx, j.patience(d.clock.Now()))
 	defer cancel()
--- a/internal/service/brdispatch/job.go
+++ b/internal/service/brdispatch/job.go
@@ -47,7 +47,7 @@
 
 // prepare takes the body and works out what attempts need.
 func (j *job) prepare(ctx context.Context) error {
-	taken, err := takeBody(j.call)
+	taken, err := takeBody(limited(j.call, j.route().MaxBody()))
 	if err != nil {
 		return err
 	}
--- a/internal/service/brnode/stop.go
+++ b/internal/service/brnode/stop.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	closeTimeout = 5 * time.Second
+	closeTimeout = 2 * time.Second
 	// stepMargin is what a step gets beyond the time that it is meant to take.
 	stepMargin = time.Second
 )
@@ -31,9 +31,14 @@
 	n.leave()
 	steps := append([]brstop.Step{}, n.leavers...)
 	if cause == nil {
-		steps = append(steps, n.outlastLookups())
+		steps = append(steps, n.outlastLookups(), n.finishRequests(n.settings.Drain().Requests()))
+		steps = append(steps, n.giveBack())
+	} else {
+		// Without its duties the VM can carry no request further.
+		steps = append(steps, n.finishRequests(closeTimeout))
 	}
-	steps = append(steps, n.finishRequests(), n.giveBack(), n.closePeers())
+	steps = append(steps, n.closePeers())
+	defer n.closeFronts()
 	err := brstop.NewSequence(n.logger, n.timeline, steps...).Run(context.WithoutCancel(ctx))
 	return errors.Join(err, cause)
 }
@@ -62,8 +67,8 @@
 }
 
 // finishRequests waits for the requests of callers.
-func (n *Node) finishRequests() brstop.Step {
-	return brstop.NewStep("finish requests", n.settings.Drain().Requests()+stepMargin, func(ctx context.Context) error {
+func (n *Node) finishRequests(bound time.Duration) brstop.Step {
+	return brstop.NewStep("finish requests", bound+stepMargin, func(ctx context.Context) error {
 		return n.shutdown(ctx, func(f *brfront.Front) bool { return f.Name() == frontCallers })
 	})
 }
