--- a/internal/decide/brshare/ledger.go
+++ b/internal/decide/brshare/ledger.go
@@ -62,21 +62,15 @@
 	l.sum()
 }
 
-// Lendable returns what can be lent until a time: what grants of that length
-// give, less all that is lent. Borrowed amounts are not lent on.
+// Lendable returns what can be lent until a time: what grants and loans give
+// that last as long, less all that is lent.
 func (l *Ledger[Q]) Lendable(end time.Time) Q {
-	return max(l.granted(end)-l.lent(), 0)
+	return max(l.backing(end)-l.lent(), 0)
 }
 
-// granted returns what grants give that last until a time.
-func (l *Ledger[Q]) granted(end time.Time) Q {
-	var amount Q
-	for _, g := range l.grants {
-		if !g.end.Before(end) {
-			amount += g.amount
-		}
-	}
-	return amount
+// backing returns what grants and loans give that last until a time.
+func (l *Ledger[Q]) backing(end time.Time) Q {
+	return lasting(l.grants, end) + lasting(l.loans, end)
 }
 
 func (l *Ledger[Q]) lent() Q {
@@ -124,6 +118,16 @@
 	}
 }
 
+func lasting[K comparable, Q Quantity](entries map[K]entry[Q], end time.Time) Q {
+	var amount Q
+	for _, e := range entries {
+		if !e.end.Before(end) {
+			amount += e.amount
+		}
+	}
+	return amount
+}
+
 func lapse[K comparable, Q Quantity](entries map[K]entry[Q], now time.Time) {
 	for key, e := range entries {
 		if !now.Before(e.end) {
--- a/internal/service/brnode/duties.go
+++ b/internal/service/brnode/duties.go
@@ -14,9 +14,12 @@
 		n.spreading.Duty(),
 		n.revoking.Duty(),
 		n.polling.Duty(),
+		n.writing.Duty(),
 		n.spread.following.Duty(),
 		n.spread.membership.Duty(),
 		n.spread.archiving.Duty(),
+		n.spread.witnessing.Duty(),
+		n.spread.inquiring.Duty(),
 		n.shares.tenancy.Duty(),
 		n.shares.lending.Duty(),
 	)
--- a/internal/service/brnode/fronts.go
+++ b/internal/service/brnode/fronts.go
@@ -26,8 +26,8 @@
 	if err != nil {
 		return errors.Errorf("make callers' front: %w", err)
 	}
-	administration := bradministration.New(n.spreading, table, objects)
-	operators, err := broperator.NewHandler(administration, n.timeline, n.metrics())
+	administration := bradministration.New(n.clock, accessPolicy(n.settings.Operators().Administration()), n.writing, n.spreading, table, objects, n.spread.witnesses, n.timeline)
+	operators, err := broperator.NewHandler(n.settings.VM(), administration, n.timeline, n.metrics())
 	if err != nil {
 		return errors.Errorf("make operators' front: %w", err)
 	}
--- a/internal/service/brnode/node.go
+++ b/internal/service/brnode/node.go
@@ -24,6 +24,7 @@
 	"bergamotroad.example/bergamotroad/internal/duty/brspreading"
 	"bergamotroad.example/bergamotroad/internal/duty/brsteering"
 	"bergamotroad.example/bergamotroad/internal/duty/brtimeline"
+	"bergamotroad.example/bergamotroad/internal/duty/brwriting"
 	"bergamotroad.example/bergamotroad/internal/model/brevent"
 	"bergamotroad.example/bergamotroad/internal/peer/brentry"
 	"bergamotroad.example/bergamotroad/internal/service/brfront"
@@ -43,6 +44,7 @@
 	spreading *brspreading.Spreading
 	revoking  *brrevoking.Revoking
 	polling   *brpolling.Polling
+	writing   *brwriting.Writing
 	requests  requestDuties
 	shares    shares
 	spread    spread
@@ -61,7 +63,7 @@
 	}
 	n.timeline = brtimeline.New(settings.VM(), settings.Domain(), clock)
 	n.admission = bradmission.New(clock)
-	n.balancing = brbalancing.New(settings.Domain(), clock)
+	n.balancing = brbalancing.New(settings.VM(), settings.Domain(), clock)
 	n.steering = brsteering.New(clock)
 	n.spreading = brspreading.New(clock, n.timeline)
 	n.revoking = brrevoking.New(clock)
@@ -71,6 +73,8 @@
 	n.spreading.SubscribeConfirmed(n.revoking)
 	n.spreading.Subscribe(n.balancing.Snapshots())
 	n.spreading.Subscribe(n.steering.Snapshots())
+	n.writing = brwriting.New(clock)
+	n.spreading.Subscribe(n.writing.Snapshots())
 	n.requests = newRequestDuties(settings, clock, n.timeline, n.connector)
 	n.requests.subscribe(n.spreading)
 	n.addShares()
