--- /dev/null
+++ b/internal/decide/brkey/advance.go
@@ -0,0 +1,12 @@
+package brkey
+
+import "bergamotroad.example/bergamotroad/internal/model/brconfig"
+
+// Advance returns the keys of a later snapshot. It is the same keychain where
+// no key has changed.
+func (k *Keychain) Advance(snapshot *brconfig.Snapshot) *Keychain {
+	if !snapshot.TouchedSince(k.generation, brconfig.KindKey) {
+		return &Keychain{keys: k.keys, generation: snapshot.Generation()}
+	}
+	return NewKeychain(snapshot)
+}
--- a/internal/decide/brkey/keychain.go
+++ b/internal/decide/brkey/keychain.go
@@ -21,7 +21,8 @@
 
 // Keychain holds the keys that are granted. It is immutable.
 type Keychain struct {
-	keys map[brrequest.KeyHash]entry
+	generation uint64
+	keys       map[brrequest.KeyHash]entry
 }
 
 type entry struct {
@@ -40,7 +41,7 @@
 		}
 		keys[hash] = entry{hash: hash, organisation: k.Organisation()}
 	}
-	return &Keychain{keys: keys}
+	return &Keychain{keys: keys, generation: snapshot.Generation()}
 }
 
 // Organisation returns the organisation that a key was granted to, if any.
--- a/internal/duty/bradmission/identity.go
+++ b/internal/duty/bradmission/identity.go
@@ -28,12 +28,12 @@
 const unconfirmedRetry = time.Second
 
 func newIdentity() *identity {
-	return &identity{guesses: brguess.NewLimiter()}
+	return &identity{guesses: brguess.NewLimiter(), keys: brkey.NewKeychain(brconfig.NewSnapshot())}
 }
 
 func (i *identity) update(snapshot *brconfig.Snapshot) {
 	i.snapshot = snapshot
-	i.keys = brkey.NewKeychain(snapshot)
+	i.keys = i.keys.Advance(snapshot)
 }
 
 // Confirm says that at a moment no accepted change was newer than the
--- a/internal/duty/brfollowing/spread_test.go
+++ b/internal/duty/brfollowing/spread_test.go
@@ -274,3 +274,37 @@
 	require.NoError(t, err)
 	return data
 }
+
+// VMs that are cut off from all others poll by themselves.
+func TestVMsCutOffFromEachOtherPoll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1, 12)
+		c.start()
+		defer c.stop()
+		time.Sleep(inForceWithin)
+		for i, one := range c.vms {
+			for _, other := range c.vms[:i] {
+				c.setCut(one.name, other.name)
+			}
+		}
+		c.accept(region(1))
+		c.inForce(inForceWithin)
+		require.Empty(t, c.lagging())
+	})
+}
+
+// A snapshot that is older than what a VM holds is not installed.
+func TestOlderSnapshotIsNotInstalled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(1, 1)
+		c.start()
+		defer c.stop()
+		c.accept(region(1))
+		old := c.head
+		c.accept(region(2))
+		c.inForce(inForceWithin)
+		state, err := c.vms[0].spreading.Install(t.Context(), old, brconfig.NewSnapshot())
+		require.NoError(t, err)
+		require.Equal(t, c.head, state.Head())
+	})
+}
--- a/internal/duty/brrevoking/duty.go
+++ b/internal/duty/brrevoking/duty.go
@@ -132,7 +132,7 @@
 // Update takes a new configuration.
 func (h *handler) Update(_ context.Context, snapshot *brconfig.Snapshot) {
 	h.snapshot = snapshot
-	h.keys = brkey.NewKeychain(snapshot)
+	h.keys = h.keys.Advance(snapshot)
 	h.check(h.clock.Now())
 }
 
