--- a/internal/model/brconfig/snapshot.go
+++ b/internal/model/brconfig/snapshot.go
@@ -41,12 +41,6 @@
 	}}
 }
 
-// kinds are all kinds of resources, by name.
-var kinds = slices.Sorted(maps.Keys(NewSnapshot().stores))
-
-// Kinds returns all kinds of resources, by name. The caller must not change the slice.
-func Kinds() []Kind { return kinds }
-
 // Generation returns the number of the accepted change that made the snapshot.
 func (s *Snapshot) Generation() uint64 { return s.generation }
 
@@ -68,6 +62,15 @@
 	return rows.all()
 }
 
+// Len returns the number of resources of a kind.
+func (s *Snapshot) Len(kind Kind) int {
+	rows, ok := s.stores[kind]
+	if !ok {
+		return 0
+	}
+	return rows.count()
+}
+
 // Kinds returns the kinds of resources in ascending order.
 func (s *Snapshot) Kinds() []Kind {
 	return slices.Sorted(maps.Keys(s.stores))
--- a/internal/service/brnode/spread.go
+++ b/internal/service/brnode/spread.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"bergamotroad.example/bergamotroad/internal/duty/brarchiving"
 	"bergamotroad.example/bergamotroad/internal/duty/brfollowing"
@@ -17,12 +16,6 @@
 	"bergamotroad.example/bergamotroad/internal/peer/brvmlist"
 )
 
-const (
-	// peerConnectionsIdle bounds the idle connections to one other VM.
-	peerConnectionsIdle = 2
-	peerIdleTimeout     = time.Minute
-)
-
 // spread is the duties that bring the configuration, beside the poller.
 type spread struct {
 	following  *brfollowing.Following
@@ -30,6 +23,7 @@
 	archiving  *brarchiving.Archiving
 	witnessing *brwitnessing.Witnessing
 	inquiring  *brinquiring.Inquiring
+	witnesses  *brentry.Witnesses
 }
 
 // generations is the VM's own generation and what is heard of others'.
@@ -49,15 +43,15 @@
 	platform := n.settings.Platform()
 	n.polling = brpolling.New(vm, domain, n.clock, table, objects, n.spreading, n.logger)
 	known := &generations{spreading: n.spreading}
-	transport := &http.Transport{MaxIdleConnsPerHost: peerConnectionsIdle, IdleConnTimeout: peerIdleTimeout}
-	peers := &http.Client{Transport: brentry.NewTransport(vm, known, transport)}
+	peers := &http.Client{Transport: brentry.NewTransport(vm, known, n.connector.Transport())}
 	pool := brentry.NewPool(peers)
 	n.spread.following = brfollowing.New(vm, domain, n.clock, pool, n.spreading, n.polling, n.logger)
 	known.following = n.spread.following
 	n.spread.archiving = brarchiving.New(vm, n.clock, objects, n.logger)
 	n.spread.witnessing = brwitnessing.New(n.clock, n.spreading)
 	n.spreading.SubscribeTableRead(n.spread.witnessing)
-	n.spread.inquiring = brinquiring.New(vm, domain, n.clock, n.spreading, brentry.NewWitnesses(peers))
+	n.spread.witnesses = brentry.NewWitnesses(peers)
+	n.spread.inquiring = brinquiring.New(vm, domain, n.clock, n.spreading, n.spread.witnesses)
 	n.spreading.SubscribeArchive(n.spread.archiving.States())
 	list := brvmlist.NewClient(client, platform.VMs(), platform.Timeout())
 	n.spread.membership = brmembership.New(n.clock, list, nil, n.logger)
@@ -71,5 +65,5 @@
 func (n *Node) peersHandler() http.Handler {
 	known := &generations{spreading: n.spreading, following: n.spread.following}
 	return brentry.WithGeneration(n.settings.VM(), known, brentry.WithWitness(
-		brentry.NewHandler(n.clock, n.spreading, n.timeline, n.admission), n.spread.witnessing))
+		brentry.WithLending(brentry.NewHandler(n.clock, n.spreading, n.timeline), n.admission), n.spread.witnessing))
 }
--- a/tests/script_test.go
+++ b/tests/script_test.go
@@ -33,7 +33,7 @@
 	testscript.Main(m, map[string]func(){
 		"bergamotroad":     func() { os.Exit(brcommand.Main(os.Args[1:], os.Stdout, os.Stderr)) },
 		"standin-platform": func() { serveUntilSignal(os.Args[1], newPlatform()) },
-		"standin-server":   func() { serveUntilSignal(os.Args[1], brserver.New(3, time.Millisecond)) },
+		"standin-server":   func() { serveUntilSignal(os.Args[1], mortal(brserver.New(3, time.Millisecond))) },
 		"call":             call,
 	})
 }
@@ -45,6 +45,7 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"waitfor": waitFor,
 			"expand":  expand,
+			"readenv": readEnv,
 		},
 	})
 }
@@ -74,6 +75,16 @@
 	return mux
 }
 
+// mortal ends the process while it runs a request whose path ends in poison.
+func mortal(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/poison") {
+			os.Exit(0)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func serveUntilSignal(address string, handler http.Handler) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
@@ -156,3 +167,11 @@
 		script.Check(os.WriteFile(path, []byte(strings.TrimSpace(text)+"\n"), 0o600))
 	}
 }
+
+// readEnv sets a variable to the text of a file: readenv NAME FILE.
+func readEnv(script *testscript.TestScript, negated bool, arguments []string) {
+	if negated || len(arguments) != 2 {
+		script.Fatalf("usage: readenv NAME FILE")
+	}
+	script.Setenv(arguments[0], strings.TrimSpace(script.ReadFile(arguments[1])))
+}
