--- a/internal/duty/brfollowing/cluster_test.go
+++ b/internal/duty/brfollowing/cluster_test.go
@@ -127,7 +127,7 @@
 	following := brfollowing.New(v.name, v.domain, clock, brentry.NewPool(client), v.spreading, polling, logger)
 	heard.following = following
 	v.cluster.mutex.Lock()
-	v.handler = brentry.WithGeneration(v.name, heard, brentry.NewHandler(clock, v.spreading, noTimeline{}, nil))
+	v.handler = brentry.WithGeneration(v.name, heard, brentry.NewHandler(clock, v.spreading, noTimeline{}))
 	v.cluster.mutex.Unlock()
 	_ = polling.Members().Send(v.cluster.members())
 	_ = following.Members().Send(v.cluster.members())
