Let requests wait in turn for a backend server's slot

Cause: a request that found all slots taken was refused at once, whichever organisation held them; a caller that left as it got a slot kept it for ever, and so did an outcome that found the ring full. Rings have a reserve for what is given back; a placement whose caller left is taken back. Two tests of others had data races of their own and are mended with the same assertions. Conclusion: a noisy organisation no longer keeps others from slots.

--- a/internal/core/brduty/duty.go
+++ b/internal/core/brduty/duty.go
@@ -67,6 +67,7 @@
 
 type options struct {
 	capacity int
+	reserve  int
 	period   time.Duration
 }
 
@@ -78,6 +79,12 @@
 	return func(o *options) { o.capacity = messages }
 }
 
+// WithReserve adds places to the duty's queue for messages that are sent by
+// SendReserved.
+func WithReserve(messages int) Option {
+	return func(o *options) { o.reserve = messages }
+}
+
 // WithPeriod sets the time between two ticks.
 func WithPeriod(period time.Duration) Option {
 	return func(o *options) { o.period = period }
@@ -93,7 +100,7 @@
 		name:      name,
 		handler:   handler,
 		clock:     clock,
-		queue:     brring.NewQueue[M](o.capacity),
+		queue:     brring.NewQueueWithReserve[M](o.capacity, o.reserve),
 		snapshots: brring.NewLatest[S](),
 		period:    o.period,
 	}
--- a/internal/core/brduty/duty_test.go
+++ b/internal/core/brduty/duty_test.go
@@ -16,7 +16,7 @@
 type recorder struct {
 	handled   []int
 	snapshots []string
-	ticks     int
+	ticks     atomic.Int32
 	block     chan struct{}
 }
 
@@ -34,7 +34,7 @@
 	r.snapshots = append(r.snapshots, snapshot)
 }
 
-func (r *recorder) Tick(context.Context, time.Time) { r.ticks++ }
+func (r *recorder) Tick(context.Context, time.Time) { r.ticks.Add(1) }
 
 // sleeper asks for its first tick early.
 type sleeper struct {
@@ -43,7 +43,7 @@
 }
 
 func (s *sleeper) Due(now time.Time) (time.Duration, bool) {
-	return s.due.Sub(now), s.ticks == 0
+	return s.due.Sub(now), s.ticks.Load() == 0
 }
 
 type observer struct {
@@ -71,7 +71,7 @@
 		group.Stop()
 		require.Len(t, r.handled, 600)
 		require.Equal(t, []string{"new"}, r.snapshots)
-		require.Equal(t, 2, r.ticks)
+		require.EqualValues(t, 2, r.ticks.Load())
 		require.True(t, duty.Progress().Ended())
 	})
 }
@@ -119,10 +119,10 @@
 		require.NoError(t, duty.Queue().Send(1))
 		time.Sleep(50 * time.Millisecond)
 		synctest.Wait()
-		require.Equal(t, 1, s.ticks)
+		require.EqualValues(t, 1, s.ticks.Load())
 		time.Sleep(time.Minute)
 		synctest.Wait()
-		require.Equal(t, 2, s.ticks, "the period goes on")
+		require.EqualValues(t, 2, s.ticks.Load(), "the period goes on")
 		group.Stop()
 	})
 }
--- a/internal/core/brring/reply.go
+++ b/internal/core/brring/reply.go
@@ -24,6 +24,12 @@
 	_ = r.ring.Send(answer)
 }
 
+// Take takes an answer back that the sender has not taken.
+func (r Reply[T]) Take() (T, bool) { return r.ring.TryReceive() }
+
+// Is reports whether both replies answer the same message.
+func (r Reply[T]) Is(other Reply[T]) bool { return r.ring == other.ring }
+
 // ReplyPool keeps reply rings for reuse.
 type ReplyPool[T any] struct {
 	pool sync.Pool
--- a/internal/core/brring/ring.go
+++ b/internal/core/brring/ring.go
@@ -52,6 +52,7 @@
 	slots   []T
 	head    int
 	length  int
+	reserve int
 	dropped uint64
 	closed  bool
 	ready   chan struct{}
@@ -77,6 +78,16 @@
 	return New[T, Reject](capacity)
 }
 
+// NewQueueWithReserve returns a queue for capacity messages in which the last
+// reserve places take only what is sent by SendReserved. A message that gives
+// back what an earlier one took finds room there when the ring is full for all
+// others.
+func NewQueueWithReserve[T any](capacity, reserve int) *Queue[T] {
+	ring := NewQueue[T](capacity + reserve)
+	ring.reserve = reserve
+	return ring
+}
+
 // NewLatest returns a ring of one place that keeps only the newest message.
 func NewLatest[T any]() *Latest[T] {
 	return New[T, ReplaceOldest](1)
@@ -85,15 +96,25 @@
 // Send puts a message into the ring without waiting.
 // It returns ErrFull or ErrClosed.
 func (r *Ring[T, P]) Send(message T) error {
+	return r.send(message, len(r.slots)-r.reserve)
+}
+
+// SendReserved puts a message into the ring without waiting, into the reserve
+// if need be. It returns ErrFull or ErrClosed.
+func (r *Ring[T, P]) SendReserved(message T) error {
+	return r.send(message, len(r.slots))
+}
+
+func (r *Ring[T, P]) send(message T, limit int) error {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.closed {
 		return ErrClosed{}
 	}
-	if r.length == len(r.slots) {
+	if r.length >= limit {
 		if !r.policy.DropsOldest() {
 			r.dropped++
-			return ErrFull{capacity: len(r.slots)}
+			return ErrFull{capacity: limit}
 		}
 		r.take()
 		r.dropped++
--- a/internal/core/brring/ring_test.go
+++ b/internal/core/brring/ring_test.go
@@ -52,6 +52,15 @@
 	})
 }
 
+func TestReserveTakesWhatIsGivenBack(t *testing.T) {
+	ring := brring.NewQueueWithReserve[int](1, 1)
+	require.NoError(t, ring.Send(1))
+	require.True(t, brring.IsErrFull(ring.Send(2)))
+	require.NoError(t, ring.SendReserved(3))
+	require.True(t, brring.IsErrFull(ring.SendReserved(4)))
+	require.Equal(t, 2, ring.Len())
+}
+
 func TestClosedRingGivesWhatItHolds(t *testing.T) {
 	ring := brring.NewQueue[int](2)
 	require.NoError(t, ring.Send(7))
--- a/internal/decide/brbalance/balancer.go
+++ b/internal/decide/brbalance/balancer.go
@@ -168,3 +168,9 @@
 	}
 	s.candidates = append(s.candidates, c)
 }
+
+// Serves reports whether any server of a service is listed in the failure domain.
+func (b *Balancer[P]) Serves(service string) bool {
+	s, ok := b.services[service]
+	return ok && len(s.candidates) > 0
+}
--- a/internal/decide/brfair/queue.go
+++ b/internal/decide/brfair/queue.go
@@ -137,21 +137,30 @@
 
 // Expire removes and returns the items that have waited too long.
 func (q *Queue[T, P]) Expire(now time.Time) []Item[T] {
-	expired := []Item[T]{}
+	return q.removeIf(func(i Item[T]) bool { return !i.giveUp.IsZero() && !now.Before(i.giveUp) })
+}
+
+// Remove removes the items whose value matches.
+func (q *Queue[T, P]) Remove(matches func(value T) bool) {
+	q.removeIf(func(i Item[T]) bool { return matches(i.value) })
+}
+
+func (q *Queue[T, P]) removeIf(leaves func(item Item[T]) bool) []Item[T] {
+	removed := []Item[T]{}
 	for _, f := range slices.Clone(q.turn) {
 		f.items = slices.DeleteFunc(f.items, func(i Item[T]) bool {
-			late := !i.giveUp.IsZero() && !now.Before(i.giveUp)
-			if late {
-				expired = append(expired, i)
+			if !leaves(i) {
+				return false
 			}
-			return late
+			removed = append(removed, i)
+			return true
 		})
 		if len(f.items) == 0 {
 			q.retire(f)
 		}
 	}
-	q.length -= len(expired)
-	return expired
+	q.length -= len(removed)
+	return removed
 }
 
 // keyOf returns the flow that an item belongs to. Without rounds all items share one.
--- a/internal/duty/brbalancing/duty.go
+++ b/internal/duty/brbalancing/duty.go
@@ -14,7 +14,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"time"
 
 	"github.com/go-faster/errors"
 
@@ -27,7 +26,12 @@
 	"bergamotroad.example/bergamotroad/internal/model/brrequest"
 )
 
-const queueCapacity = 4096 // messages
+const (
+	queueCapacity = 4096 // placements
+	// queueReserve takes the ends of requests that run, of which the callers'
+	// front bounds the number.
+	queueReserve = 8192 // messages
+)
 
 // ErrServerNotExist says that no backend server of a service can take a request.
 type ErrServerNotExist struct {
@@ -45,10 +49,14 @@
 	return ok
 }
 
+// reply carries a server to a placement, or none.
+type reply = brring.Reply[broption.Option[brconfig.Server]]
+
 type message struct {
 	placement brrequest.Placement
 	outcome   broption.Option[brrequest.Outcome]
-	reply     brring.Reply[broption.Option[brconfig.Server]]
+	abandoned bool
+	reply     reply
 }
 
 // Balancing is the duty with the calls that reach it.
@@ -59,9 +67,9 @@
 
 // New returns the duty of a VM for the servers of its failure domain.
 func New(vm, domain string, clock brclock.Clock) *Balancing {
-	h := &handler{clock: clock, balancer: brbalance.NewBalancer[brbalance.LeastLoaded](vm, domain, rand.Uint64())}
+	h := &handler{clock: clock, lines: map[string]*line{}, balancer: brbalance.NewBalancer[brbalance.LeastLoaded](vm, domain, rand.Uint64())}
 	return &Balancing{
-		duty:    brduty.New("balancing", h, clock, brduty.WithCapacity(queueCapacity)),
+		duty:    brduty.New("balancing", h, clock, brduty.WithCapacity(queueCapacity), brduty.WithReserve(queueReserve)),
 		servers: brring.NewReplyPool[broption.Option[brconfig.Server]](),
 	}
 }
@@ -72,12 +80,16 @@
 // Snapshots returns the ring that takes the configuration.
 func (b *Balancing) Snapshots() *brring.Latest[*brconfig.Snapshot] { return b.duty.Snapshots() }
 
-// Pick takes a slot of a server. It returns ErrServerNotExist where none is free.
+// Pick takes a slot of a server, and waits for its turn as long as the placement
+// says. It returns ErrServerNotExist where none is free.
 func (b *Balancing) Pick(ctx context.Context, placement brrequest.Placement) (brconfig.Server, error) {
-	answer, err := brring.Ask(ctx, b.duty.Queue(), b.servers, func(reply brring.Reply[broption.Option[brconfig.Server]]) message {
-		return message{placement: placement, reply: reply}
+	var asked reply
+	answer, err := brring.Ask(ctx, b.duty.Queue(), b.servers, func(r reply) message {
+		asked = r
+		return message{placement: placement, reply: r}
 	})
 	if err != nil {
+		b.abandon(asked)
 		return brconfig.Server{}, errors.Errorf("pick server of %q: %w", placement.Service(), err)
 	}
 	server, ok := answer.Get()
@@ -89,27 +101,39 @@
 
 // Release gives back the slot of a request that has ended, with its outcome.
 func (b *Balancing) Release(outcome brrequest.Outcome) {
-	_ = b.duty.Queue().Send(message{outcome: broption.Some(outcome)})
+	_ = b.duty.Queue().SendReserved(message{outcome: broption.Some(outcome)})
+}
+
+// abandon gives up a placement whose answer nobody waits for any more.
+func (b *Balancing) abandon(asked reply) {
+	if asked.Expected() {
+		_ = b.duty.Queue().SendReserved(message{abandoned: true, reply: asked})
+	}
 }
 
 type handler struct {
 	clock    brclock.Clock
+	lines    map[string]*line // by service
 	balancer *brbalance.Balancer[brbalance.LeastLoaded]
 }
 
 // Handle picks or releases.
 func (h *handler) Handle(_ context.Context, m message) {
+	now := h.clock.Now()
 	if outcome, ok := m.outcome.Get(); ok {
-		h.balancer.Release(h.clock.Now(), outcome)
+		h.balancer.Release(now, outcome)
+		h.serveAll(now)
+		return
+	}
+	if m.abandoned {
+		h.abandon(m.reply, now)
 		return
 	}
-	m.reply.Answer(h.balancer.Pick(h.clock.Now(), m.placement))
+	h.place(m, now)
 }
 
 // Update takes a new configuration.
 func (h *handler) Update(_ context.Context, snapshot *brconfig.Snapshot) {
 	h.balancer.Update(h.clock.Now(), snapshot)
+	h.serveAll(h.clock.Now())
 }
-
-// Tick does nothing yet.
-func (*handler) Tick(context.Context, time.Time) {}
--- /dev/null
+++ b/internal/duty/brbalancing/queue_test.go
@@ -0,0 +1,143 @@
+package brbalancing_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/core/brduty"
+	"bergamotroad.example/bergamotroad/internal/duty/brbalancing"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+)
+
+type silent struct{}
+
+func (silent) DutyStalled(string, int) {}
+
+func (silent) DutyPanicked(string, any, []byte) {}
+
+// run starts the balancing of the only VM of a domain with one server of one slot.
+func run(t *testing.T, scenario func(t *testing.T, balancing *brbalancing.Balancing)) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := brclock.NewSystem()
+		balancing := brbalancing.New("vm-1", "este-a", clock)
+		group := brduty.NewGroup(t.Context(), clock, silent{})
+		group.Start(balancing.Duty())
+		defer group.Stop()
+		meta := brconfig.NewMeta
+		snapshot, err := brconfig.NewSnapshot().Apply(1, []brconfig.Change{
+			brconfig.Put(brconfig.NewRegion(meta("este"))),
+			brconfig.Put(brconfig.NewDomain(meta("este-a"), "este")),
+			brconfig.Put(brconfig.NewSite(meta("este-a"), "este-a")),
+			brconfig.Put(brconfig.NewVM(meta("vm-1"), "este-a", "127.0.0.1:1", "127.0.0.1:2")),
+			brconfig.Put(brconfig.NewService(meta("ledger"))),
+			brconfig.Put(brconfig.NewServer(meta("ledger-1"), "ledger", "este-a", "127.0.0.1:3", 1)),
+		})
+		require.NoError(t, err)
+		require.NoError(t, balancing.Snapshots().Send(snapshot))
+		synctest.Wait()
+		scenario(t, balancing)
+	})
+}
+
+func placementOf(organisation string) brrequest.Placement {
+	return brrequest.NewPlacement("ledger", organisation).Waiting(time.Minute)
+}
+
+func end(balancing *brbalancing.Balancing, server brconfig.Server) {
+	balancing.Release(brrequest.NewOutcome(server.Name(), brrequest.OutcomeAnswered, time.Millisecond))
+}
+
+// The slot goes to organisations in turn, however many wait of one of them.
+func TestWaitingOrganisationsAreServedInTurn(t *testing.T) {
+	run(t, func(t *testing.T, balancing *brbalancing.Balancing) {
+		held, err := balancing.Pick(t.Context(), placementOf("first"))
+		require.NoError(t, err)
+		order := make(chan string, 16)
+		wait := func(organisation string) {
+			go func() {
+				server, err := balancing.Pick(t.Context(), placementOf(organisation))
+				if err != nil {
+					return
+				}
+				order <- organisation
+				end(balancing, server)
+			}()
+			synctest.Wait()
+		}
+		for range 6 {
+			wait("noisy")
+		}
+		wait("quiet")
+		end(balancing, held)
+		synctest.Wait()
+		require.Len(t, order, 7)
+		// The first in turn was chosen before the quiet one came.
+		require.Equal(t, "noisy", <-order)
+		require.Contains(t, []string{<-order, <-order}, "quiet")
+	})
+}
+
+func TestNobodyPassesThoseWhoWait(t *testing.T) {
+	run(t, func(t *testing.T, balancing *brbalancing.Balancing) {
+		_, err := balancing.Pick(t.Context(), placementOf("first"))
+		require.NoError(t, err)
+		_, err = balancing.Pick(t.Context(), brrequest.NewPlacement("ledger", "hasty"))
+		require.True(t, brbalancing.IsErrServerNotExist(err))
+		_, err = balancing.Pick(t.Context(), brrequest.NewPlacement("unknown", "hasty").Waiting(time.Minute))
+		require.True(t, brbalancing.IsErrServerNotExist(err), "no server will ever be free")
+	})
+}
+
+func TestPlacementIsRefusedWhenItsTimeIsOver(t *testing.T) {
+	run(t, func(t *testing.T, balancing *brbalancing.Balancing) {
+		_, err := balancing.Pick(t.Context(), placementOf("first"))
+		require.NoError(t, err)
+		started := time.Now()
+		for _, placement := range []brrequest.Placement{
+			placementOf("late").WithDeadline(started.Add(time.Second)),
+			brrequest.NewPlacement("ledger", "impatient").Waiting(time.Second),
+		} {
+			_, err = balancing.Pick(t.Context(), placement)
+			require.True(t, brbalancing.IsErrServerNotExist(err))
+		}
+		require.Less(t, time.Since(started), 2200*time.Millisecond)
+	})
+}
+
+// A caller that leaves while it waits, or just as it gets the slot, holds nothing.
+func TestSlotOfACallerThatLeftIsFreeAgain(t *testing.T) {
+	run(t, func(t *testing.T, balancing *brbalancing.Balancing) {
+		for i := range 50 {
+			held, err := balancing.Pick(t.Context(), placementOf("first"))
+			require.NoError(t, err, "round %d", i)
+			ctx, leave := context.WithCancel(t.Context())
+			done := make(chan error, 1)
+			go func() {
+				server, err := balancing.Pick(ctx, placementOf(fmt.Sprint("leaver-", i)))
+				if err == nil {
+					end(balancing, server)
+				}
+				done <- err
+			}()
+			synctest.Wait()
+			if i%2 == 0 {
+				leave()
+				end(balancing, held)
+			} else {
+				end(balancing, held)
+				leave()
+			}
+			<-done
+			synctest.Wait()
+		}
+		_, err := balancing.Pick(t.Context(), brrequest.NewPlacement("ledger", "last"))
+		require.NoError(t, err)
+	})
+}
--- a/internal/model/brrequest/placement.go
+++ b/internal/model/brrequest/placement.go
@@ -12,6 +12,7 @@
 	weight       int
 	deadline     time.Time
 	avoided      []string
+	patience     time.Duration
 }
 
 // NewPlacement asks for a server of a service for an organisation of weight one.
@@ -31,6 +32,12 @@
 	return p
 }
 
+// Waiting returns the placement that waits for its turn, if no slot is free now.
+func (p Placement) Waiting(patience time.Duration) Placement {
+	p.patience = patience
+	return p
+}
+
 // Avoiding returns the placement with one more server that is not wanted.
 func (p Placement) Avoiding(server string) Placement {
 	p.avoided = append(slices.Clip(p.avoided), server)
@@ -49,5 +56,8 @@
 // Deadline returns the time at which the placement is given up, or the zero time.
 func (p Placement) Deadline() time.Time { return p.deadline }
 
+// Patience returns how long the placement waits for its turn, or 0.
+func (p Placement) Patience() time.Duration { return p.patience }
+
 // Avoids reports whether a server is not wanted.
 func (p Placement) Avoids(server string) bool { return slices.Contains(p.avoided, server) }
--- a/internal/service/brdispatch/attempt.go
+++ b/internal/service/brdispatch/attempt.go
@@ -40,10 +40,15 @@
 		end := d.attempt(ctx, j)
 		j.attempts++
 		j.fate = brretry.Combine(j.fate, end.fate)
-		if !d.mayTryAgain(ctx, j, end) {
-			end.fate = j.fate
-			return end
+		if d.mayTryAgain(ctx, j, end) {
+			continue
 		}
+		if mayWait(ctx, j, end) {
+			end = d.attemptInTurn(ctx, j)
+			j.fate = brretry.Combine(j.fate, end.fate)
+		}
+		end.fate = j.fate
+		return end
 	}
 }
 
@@ -62,6 +67,12 @@
 	if err != nil {
 		return d.attemptElsewhere(ctx, j)
 	}
+	return d.attemptAt(ctx, j, server)
+}
+
+// attemptAt sends the request to a server of this failure domain, unless it
+// is known or suspected to kill servers.
+func (d *Dispatcher) attemptAt(ctx context.Context, j *job, server brconfig.Server) ending {
 	switch d.poisoning.Begin(ctx, j.fingerprint) {
 	case brpoison.Refused:
 		d.balancing.Release(brrequest.NewOutcome(server.Name(), brrequest.OutcomeCancelled, 0))
--- a/internal/service/brstop/sequence_test.go
+++ b/internal/service/brstop/sequence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,10 +24,12 @@
 func TestEachStepRunsInOrderWhateverTheOthersDo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		started := time.Now()
-		ran := []string{}
+		mutex, ran := sync.Mutex{}, []string{}
 		step := func(name string, run func(context.Context) error) Step {
 			return NewStep(name, time.Second, func(ctx context.Context) error {
+				mutex.Lock()
 				ran = append(ran, name)
+				mutex.Unlock()
 				return run(ctx)
 			})
 		}
@@ -41,6 +44,8 @@
 			step("works", func(context.Context) error { return nil }),
 		)
 		err := sequence.Run(t.Context())
+		mutex.Lock()
+		defer mutex.Unlock()
 		require.Equal(t, []string{"fails", "panics", "hangs", "waits", "works"}, ran)
 		require.ErrorContains(t, err, "fails: refused")
 		require.ErrorContains(t, err, "panics: panic: nil map")
