Give scenario programs ports that outgoing connections never take

Cause: a scenario's VM found its address in use on a busy machine: the port had been picked from the range of outgoing connections. Change: ports of scenarios lie below that range. A request whose turn never came keeps the reason no-server.

--- a/internal/service/brdispatch/turn.go
+++ b/internal/service/brdispatch/turn.go
@@ -34,7 +34,7 @@
 		return refusal(reasonOf(ctx), 0)
 	}
 	if err != nil {
-		return refusal(brrequest.ReasonOverloaded, time.Second)
+		return refusal(brrequest.ReasonNoServer, time.Second)
 	}
 	return d.attemptAt(ctx, j, server)
 }
--- a/tests/script_test.go
+++ b/tests/script_test.go
@@ -14,7 +14,9 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -55,17 +57,31 @@
 func setPorts(env *testscript.Env) error {
 	env.Setenv("GORACE", "atexit_sleep_ms=0")
 	for i := range 16 {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
-		defer func() { _ = listener.Close() }()
-		_, port, _ := net.SplitHostPort(listener.Addr().String())
-		env.Setenv(fmt.Sprintf("PORT%d", i), port)
+		env.Setenv(fmt.Sprintf("PORT%d", i), strconv.Itoa(freePort()))
 	}
 	return nil
 }
 
+// The ports of scripts lie below those that the system gives to outgoing
+// connections, which would take a port before its program listens on it.
+const (
+	firstPort = 10_000
+	portCount = 20_000
+)
+
+var portsUsed atomic.Int64
+
+func freePort() int {
+	for {
+		port := firstPort + (os.Getpid()*64+int(portsUsed.Add(1)))%portCount
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			_ = listener.Close()
+			return port
+		}
+	}
+}
+
 func newPlatform() http.Handler {
 	faults := brplatform.NewFaults()
 	mux := http.NewServeMux()
