Work out the capacity page from measured slopes

Cause: the target asks for state, messages, processor time and memory of each role, and no page said where the design misses it.

Names of BenchmarkApply carry their dimension.

--- a/Makefile
+++ b/Makefile
@@ -57,3 +57,27 @@
 .PHONY: limits-long
 limits-long: ## Run the properties of limits with many checks
 	go test ./internal/decide/brshare -run 'NeverMore|FastClock|UsableWhole' -rapid.checks=$${CHECKS:-20000} -timeout 2h
+
+BENCH := go test -run '^$$' -benchmem
+BENCH_FILE := docs/capacity/bench.txt
+
+.PHONY: capacity-bench
+capacity-bench: ## Measure the slopes of the capacity page anew
+	@mkdir -p $(dir $(BENCH_FILE))
+	( $(BENCH) -bench 'Apply' -benchtime 200ms -count 3 ./internal/model/brconfig && \
+	$(BENCH) -bench 'Advance|Rebuild|Locate' -benchtime 100ms -count 3 ./internal/decide/brlookup && \
+	$(BENCH) -bench 'Memory' -benchtime 1x -count 3 ./internal/decide/brlookup && \
+	$(BENCH) -bench 'Advance|Choose|NewPlan|List|Claim|Record|Admit$$|Renewals|Snapshot' -benchtime 200ms -count 3 ./internal/decide/brkey \
+		./internal/decide/brwitness ./internal/decide/brspread ./internal/peer/brvmlist ./internal/duty/brclaiming \
+		./internal/duty/brtimeline ./internal/duty/bradmission ./internal/decide/brshare ./internal/codec/brdocument && \
+	$(BENCH) -bench 'InForce|TableWrites' -benchtime 1x -count 1 ./internal/duty/brfollowing ./internal/duty/brlending ) \
+	| grep -vE '^(ok|PASS|\?)' > $(BENCH_FILE)
+
+.PHONY: capacity
+capacity: ## Write the tables of the capacity page from the measurements
+	go test ./tests -run TestCapacityPage -update
+
+.PHONY: fleet
+fleet: build ## Run up to 60 VMs as processes and measure them, about a minute and a half
+	go test -tags fleet -run '^$$' -bench Fleet -benchtime 1x -timeout 180s ./tests \
+	| grep -vE '^(ok|PASS)' | tee docs/capacity/fleet.txt
--- /dev/null
+++ b/internal/decide/brcapacity/day.go
@@ -0,0 +1,161 @@
+package brcapacity
+
+const (
+	resourceDaily   = "a day"
+	resourceCalm    = "time until calm"
+	resourceSent    = "sent"
+	resourceWSecond = "writes in the worst second"
+	resourceRSecond = "reads in the worst second"
+)
+
+const (
+	regionLink = 280.0 // Mbit/s between regions today
+	megaBits   = 8e-6  // Mbit a byte
+	percent    = 100
+)
+
+// Event is what happens on the ordinary day of the target.
+type Event struct {
+	name  string
+	story string
+	lines []Line
+}
+
+// Name returns the name.
+func (e Event) Name() string { return e.name }
+
+// Story says what is sent, by whom and to whom.
+func (e Event) Story() string { return e.story }
+
+// Lines returns the costs.
+func (e Event) Lines() []Line { return e.lines }
+
+// Day returns the events of the ordinary day.
+func (m *Model) Day() []Event {
+	return []Event{m.failures(), m.restarts(), m.rackLoss(), m.domainLoss(), m.domainReturn(), m.apart(), m.bursts()}
+}
+
+func (m *Model) snapshotBytes() Quantity { return m.at(slopeSnapshotBytes, targetBlocks) }
+
+func (*Model) failures() Event {
+	const name = "a VM fails, 29 a day"
+	return Event{
+		name:  name,
+		story: "Followers of a failed poller turn to the next source. Where it held the pool of shares, one of four VMs that look after the pool takes it by compare-and-set. The list is right after its next reading.",
+		lines: []Line{
+			NewLine(name, resourceCalm, "s").CarriedBy("pool's lease, margin and visit; 12.35 s in the measurement of limits").
+				Add(Measured("last refusal after the holder's crash", 12.35, "s")),
+			NewLine(name, resourceCalm, "s").CarriedBy("two readings of the list").
+				Add(Constant("readings", 2, ""), Constant("apart", listPeriod, "s")),
+			NewLine(name, resourceWSecond, "1/s").CarriedBy("one of four VMs wins the pool").
+				Add(Constant("VMs that look after a pool", 4, ""), Estimated("attempts", 1, "1/s")),
+		},
+	}
+}
+
+func (m *Model) restarts() Event {
+	const name = "restarts, 2,000 a day"
+	rate := Given("restarts (2,000 / 86,400)", float64(targetRestarts)/secondsPerDay, "1/s")
+	return Event{
+		name:  name,
+		story: "The VM reads the list, takes the snapshot in pieces of 512 KB from one VM of its failure domain, and then a floor of shares by one write.",
+		lines: []Line{
+			NewLine(name, resourceSent, "MB").CarriedBy("snapshot of one start").AddScaled(megaPerByte, m.snapshotBytes()),
+			NewLine(name, resourceDaily, "GB").CarriedBy("snapshots of all starts").
+				AddScaled(1e-9, given("restarts", targetRestarts), m.snapshotBytes()),
+			NewLine(name, resourceCalm, "s").CarriedBy("snapshot encoded by one VM and read by the other").
+				AddScaled(1e-9, m.at(slopeSnapshotTime, targetBlocks)).
+				AddScaled(1e-9, m.at(slopeRebuild, targetBlocks)),
+			NewLine(name, resourceWSecond, "1/s").CarriedBy("one floor each").Add(rate),
+		},
+	}
+}
+
+func (m *Model) rackLoss() Event {
+	const name = "a rack or switch is lost, weekly"
+	vms := Estimated("VMs of a rack", 34, "")
+	return Event{
+		name:  name,
+		story: "As many failures at once in one failure domain. Both pollers may be among them: followers with failed sources poll by rank until the list is right. The floors of the lost VMs are used by the holder of the pool.",
+		lines: []Line{
+			NewLine(name, resourceRSecond, "1/s").CarriedBy("ranks below 8 and VMs whose sources fail poll each second").
+				Add(Estimated("VMs that poll meanwhile", 102, ""), every("polls", 1)),
+			NewLine(name, resourceCalm, "s").CarriedBy("two readings of the list").
+				Add(Constant("readings", 2, ""), Constant("apart", listPeriod, "s")),
+			NewLine(name, resourceSent, "MB").CarriedBy("snapshots when the rack is back").AddScaled(megaPerByte, vms, m.snapshotBytes()),
+		},
+	}
+}
+
+func (m *Model) domainLoss() Event {
+	const name = "a failure domain is lost, a few times a year"
+	return Event{
+		name:  name,
+		story: "Callers of its sites are told VMs of the next sites. The parts of shares that the domain holds lie idle; domains do not grow into them before its row has lapsed and its parts are freed by an operator.",
+		lines: []Line{
+			NewLine(name, "look-ups moved", "1/s").CarriedBy("next sites by distance").
+				Add(vmsPerDomain(), Given("look-ups of a VM", targetLookups/targetVMs, "1/s")),
+			NewLine(name, "more look-ups of each other VM", "%").CarriedBy("spread over all, were they all near").
+				AddScaled(percent, Given("of the other VMs' look-ups (136 / 6,264)", 1/float64(targetDomains-1), "")),
+			NewLine(name, resourceCalm, "s").CarriedBy("kept look-up answers of 10 s and two readings of the list").
+				Add(Constant("time to live", 10, "s")).Add(Constant("readings", 2, ""), Constant("apart", listPeriod, "s")),
+		},
+	}
+}
+
+func (m *Model) domainReturn() Event {
+	const name = "136 VMs start at once, store away"
+	return Event{
+		name:  name,
+		story: "None of the domain has a snapshot and the store is away: each asks VMs of other failure domains for the whole snapshot. When the store is back, all 136 want a floor in one row by compare-and-set.",
+		lines: []Line{
+			NewLine(name, resourceSent, "MB").CarriedBy("a snapshot for each VM over the region's link").
+				AddScaled(megaPerByte, vmsPerDomain(), m.snapshotBytes()),
+			NewLine(name, resourceCalm, "s").CarriedBy("a link of 280 Mbit/s carries them, nothing else sent").
+				AddScaled(megaBits, vmsPerDomain(), m.snapshotBytes(), Given("of a link (1 / 280)", 1/regionLink, "s/Mbit")),
+			NewLine(name, resourceWSecond, "1/s").CarriedBy("attempts at one row, each VM each second").
+				Add(vmsPerDomain(), every("attempts", 1)),
+			NewLine(name, resourceRSecond, "1/s").CarriedBy("a read before each attempt, and polls of the ill-informed").
+				Add(vmsPerDomain(), Constant("reads", 2, ""), every("attempts", 1)),
+		},
+	}
+}
+
+func (m *Model) apart() Event {
+	const name = "regions apart for minutes"
+	cut := Given("VMs of a region (6,400 / 22)", float64(targetVMs)/targetRegions, "")
+	return Event{
+		name:  name,
+		story: "VMs that are cut off from the store keep their generation and serve within floors and loans among themselves. They try the store by rank. Coming back, two pollers of each domain walk the missed deltas and the others take them from these.",
+		lines: []Line{
+			NewLine(name, "changes missed in 10 min", "").CarriedBy("deltas kept by others: 1,024 at most").
+				Add(changesPerSecond(), Estimated("apart", 600, "s")),
+			NewLine(name, resourceSent, "MB").CarriedBy("missed deltas to each VM").
+				AddScaled(megaPerByte, cut, changesPerSecond(), Estimated("apart", 600, "s"), m.at(slopeSpread, float64(targetVMs)/targetDomains*modelDomains)),
+			NewLine(name, resourceRSecond, "1/s").CarriedBy("all VMs of the region poll once").Add(cut, every("polls", 1)),
+			NewLine(name, resourceWSecond, "1/s").CarriedBy("pools of its domains taken anew").
+				Add(Given("domains of a region (47 / 22)", float64(targetDomains)/targetRegions, ""), Constant("VMs that look after a pool", 4, ""), Estimated("attempts", 1, "1/s")),
+		},
+	}
+}
+
+func (m *Model) bursts() Event {
+	const name = "32,000 changes with bursts"
+	burst := Estimated("times the mean", burstOverMean, "")
+	inModel := float64(targetVMs) / targetDomains * modelDomains
+	return Event{
+		name:  name,
+		story: "A change is one object and one transaction. 94 pollers read head and delta; each sends the delta to its followers.",
+		lines: []Line{
+			NewLine(name, resourceWSecond, "1/s").CarriedBy("an object and a transaction a change").
+				Add(Constant("writes", 2, ""), burst, changesPerSecond()),
+			NewLine(name, resourceRSecond, "1/s").CarriedBy("head and deltas read by the pollers").
+				Add(given("failure domains", targetDomains), Constant("pollers", domainPollers, ""), every("polls", 1)).
+				Add(given("failure domains", targetDomains), Constant("pollers", domainPollers, ""), burst, changesPerSecond()),
+			NewLine(name, "processor time of each VM", "ms/s").CarriedBy("each change compiled by delta").
+				AddScaled(milliPerNano, burst, changesPerSecond(), m.at(slopeChange, targetBlocks)),
+			NewLine(name, "messages of a poller", "KB/s").CarriedBy("each delta to each of 67 followers").
+				AddScaled(kiloPerByte, burst, changesPerSecond(), Given("followers", (float64(targetVMs)/targetDomains-domainPollers)/domainPollers, ""), m.at(slopeSpread, inModel)),
+		},
+	}
+}
--- a/internal/decide/brcapacity/fit.go
+++ b/internal/decide/brcapacity/fit.go
@@ -28,6 +28,9 @@
 // minPoints is the least number of sizes at which a slope is measured.
 const minPoints = 3
 
+// roundingError is the part of a cost below which a residual is not one of the points.
+const roundingError = 1e-12
+
 // Series holds measured points of one cost over one dimension. It is immutable.
 type Series struct {
 	dimension string
@@ -48,6 +51,17 @@
 	return s
 }
 
+// From returns the series with the points of a size or more.
+func (s Series) From(size float64) Series {
+	kept := NewSeries(s.dimension, s.unit)
+	for i, other := range s.sizes {
+		if other >= size {
+			kept = kept.With(other, s.costs[i])
+		}
+	}
+	return kept
+}
+
 // Dimension returns the name of the dimension.
 func (s Series) Dimension() string { return s.dimension }
 
@@ -68,6 +82,9 @@
 	for i, size := range s.sizes {
 		f.residual = max(f.residual, math.Abs(s.costs[i]-f.value(size)))
 	}
+	if f.residual < roundingError*slices.Max(s.costs) {
+		f.residual = 0
+	}
 	return f, nil
 }
 
--- /dev/null
+++ b/internal/decide/brcapacity/role_platform.go
@@ -0,0 +1,51 @@
+package brcapacity
+
+const (
+	idleVisitPeriod  = 60  // seconds
+	snapshotInterval = 256 // generations
+)
+
+// Table returns the lines of the platform's table.
+func (m *Model) Table() []Line {
+	const role = "table"
+	byDomain := m.at(slopeWritesDomains, targetDomains)
+	moreVMs := Measured("writes of a further VM", m.fits[slopeWritesVMs].Slope(), "1/s")
+	return []Line{
+		NewLine(role, resourceWrites, "1/s").CarriedBy("a row of shares for each failure domain").
+			Add(byDomain).
+			Add(given("VMs beyond the 24 measured", targetVMs-24), moreVMs),
+		NewLine(role, resourceWrites, "1/s").CarriedBy("one transaction a change").
+			Add(changesPerSecond()),
+		NewLine(role, resourceReads, "1/s").CarriedBy("two pollers of each failure domain").
+			Add(given("failure domains", targetDomains), Constant("pollers", domainPollers, ""), every("polls", 1)),
+		NewLine(role, resourceReads, "1/s").CarriedBy("visits of the shares' row by VMs that hold a floor").
+			Add(given("VMs", targetVMs), every("visits", idleVisitPeriod)),
+		NewLine(role, resourceReads, "1/s").CarriedBy("a read before each write of shares").
+			Add(byDomain).
+			Add(given("VMs beyond the 24 measured", targetVMs-24), moreVMs),
+	}
+}
+
+// Objects returns the lines of the object store.
+func (*Model) Objects() []Line {
+	const role = "object store"
+	return []Line{
+		NewLine(role, resourceWrites, "1/s").CarriedBy("a delta a change").
+			Add(changesPerSecond()),
+		NewLine(role, resourceWrites, "1/s").CarriedBy("a snapshot in pieces each 256 generations, by two VMs").
+			Add(changesPerSecond(), Constant("snapshots a generation", 2.0/snapshotInterval, ""), Estimated("pieces", 100, "")),
+		NewLine(role, resourceReads, "1/s").CarriedBy("each delta read by two pollers of each failure domain").
+			Add(changesPerSecond(), given("failure domains", targetDomains), Constant("pollers", domainPollers, "")),
+	}
+}
+
+// VMList returns the lines of the platform's list of VMs.
+func (m *Model) VMList() []Line {
+	const role = "VM list"
+	return []Line{
+		NewLine(role, resourceReads, "1/s").CarriedBy("each VM each 30 s").
+			Add(given("VMs", targetVMs), every("readings of the list", listPeriod)),
+		NewLine(role, resourceBytes, "MB/s").CarriedBy("the whole list each time").
+			AddScaled(megaPerByte, given("VMs", targetVMs), every("readings of the list", listPeriod), m.at(slopeListBytes, targetVMs)),
+	}
+}
--- /dev/null
+++ b/internal/decide/brcapacity/role_spreader.go
@@ -0,0 +1,51 @@
+package brcapacity
+
+const (
+	modelDomains    = 4 // failure domains of the benchmark of spreading
+	headers         = 500
+	longPoll        = 1.5 // seconds
+	deltaBytesLimit = 4   // MB
+	historyLength   = 16_384
+	domainPollers   = 2
+	largestFleet    = 60 // VMs
+)
+
+// Follower returns the lines of a VM that learns of changes from another one.
+func (m *Model) Follower() []Line {
+	const role = "follower of the spreading"
+	inModel := float64(targetVMs) / targetDomains * modelDomains
+	return []Line{
+		NewLine(role, resourceMessages, "KB/s").CarriedBy("long poll of 1.5 s at one source").
+			AddScaled(kiloPerByte, m.at(slopeIdle, inModel)).
+			AddScaled(kiloPerByte, every("long polls", longPoll), Estimated("headers of an exchange", headers, "B")),
+		NewLine(role, resourceMessages, "KB/s").CarriedBy("encoded deltas, one each generation").
+			AddScaled(kiloPerByte, changesPerSecond(), m.at(slopeSpread, inModel)),
+		NewLine(role, resourceProcessor, "ms/s").CarriedBy("ticks of the duties, long polls, all else that an idle VM does; taken at 60 VMs").
+			Add(m.at(slopeProcessIdle, largestFleet)),
+		NewLine(role, resourceMemory, "MB").CarriedBy("program and duties with a small configuration; taken at 60 VMs").
+			Add(m.at(slopeProcessMemory, largestFleet)),
+		NewLine(role, resourceMemory, "MB").CarriedBy("kept deltas, bounded").
+			Add(Constant("bytes of deltas", deltaBytesLimit, "MB")),
+		NewLine(role, resourceMemory, "MB").CarriedBy("time line, bounded").
+			AddScaled(megaPerByte, m.at(slopeRecordMemory, historyLength)),
+	}
+}
+
+// Spreader returns the further lines of the two VMs of a failure domain that
+// poll the platform and serve the others.
+func (m *Model) Spreader() []Line {
+	const role = "poller and spreader"
+	inModel := float64(targetVMs) / targetDomains * modelDomains
+	followers := Given("followers of a poller ((136 − 2) / 2)", (float64(targetVMs)/targetDomains-domainPollers)/domainPollers, "")
+	return []Line{
+		NewLine(role, resourceMessages, "KB/s").CarriedBy("answers to long polls").
+			AddScaled(kiloPerByte, followers, m.at(slopeIdle, inModel)).
+			AddScaled(kiloPerByte, followers, every("long polls", longPoll), Estimated("headers of an exchange", headers, "B")),
+		NewLine(role, resourceMessages, "KB/s").CarriedBy("deltas sent to each follower").
+			AddScaled(kiloPerByte, followers, changesPerSecond(), m.at(slopeSpread, inModel)),
+		NewLine(role, resourceMessages, "KB/s").CarriedBy("poll of the head each second").
+			AddScaled(kiloPerByte, every("polls", 1), Estimated("an exchange with the table", 900, "B")),
+		NewLine(role, resourceProcessor, "ms/s").CarriedBy("answers to long polls").
+			Add(followers, every("long polls", longPoll), Estimated("one exchange", 0.15, "ms")),
+	}
+}
--- /dev/null
+++ b/internal/decide/brcapacity/role_watcher.go
@@ -0,0 +1,20 @@
+package brcapacity
+
+const listPeriod = 30 // seconds
+
+// Watcher returns the lines of a VM as watcher of the others.
+func (m *Model) Watcher() []Line {
+	const role = "watcher of other VMs"
+	return []Line{
+		NewLine(role, resourceMessages, "KB/s").CarriedBy("the platform's whole list, read by each VM").
+			AddScaled(kiloPerByte, every("readings of the list", listPeriod), m.at(slopeListBytes, targetVMs)),
+		NewLine(role, resourceProcessor, "ms/s").CarriedBy("the platform's whole list, the stand-in's part included").
+			AddScaled(milliPerNano, every("readings of the list", listPeriod), m.at(slopeListTime, targetVMs)),
+		NewLine(role, resourceProcessor, "ms/s").CarriedBy("plan of sources, in two duties").
+			AddScaled(milliPerNano, every("readings of the list", listPeriod), Constant("duties with a plan", 2, ""), m.at(slopePlan, targetVMs)),
+		NewLine(role, resourceMessages, "KB/s").CarriedBy("heartbeats to neighbours (not built)").
+			AddScaled(kiloPerByte, Estimated("neighbours", 8, ""), Estimated("heartbeats", 1, "1/s"), Estimated("a heartbeat", 120, "B")),
+		NewLine(role, resourceMemory, "MB").CarriedBy("members as listed and as configured").
+			AddScaled(megaPerByte, given("VMs", targetVMs), Estimated("a member", 400, "B")),
+	}
+}
--- /dev/null
+++ b/internal/decide/brcapacity/slope.go
@@ -0,0 +1,106 @@
+package brcapacity
+
+import "github.com/go-faster/errors"
+
+// Slope names one measured cost over one dimension.
+type Slope struct {
+	name      string
+	benchmark string
+	dimension string
+	unit      string
+	pkg       string
+	from      float64 // least size of the fit
+}
+
+// Name returns what is measured.
+func (s Slope) Name() string { return s.name }
+
+// Benchmark returns the name of the benchmark without "Benchmark".
+func (s Slope) Benchmark() string { return s.benchmark }
+
+// Dimension returns the name of the dimension.
+func (s Slope) Dimension() string { return s.dimension }
+
+// Unit returns the unit that the benchmark reports.
+func (s Slope) Unit() string { return s.unit }
+
+// Command returns what runs the benchmark.
+func (s Slope) Command() string {
+	if s.benchmark == "Fleet" {
+		return "make fleet"
+	}
+	return "go test -run '^$' -bench '" + s.benchmark + "' ./internal/" + s.pkg
+}
+
+// The measured slopes.
+var (
+	slopeLocate         = Slope{"one look-up", "Locate", "blocks", "ns/op", "decide/brlookup", 0}
+	slopeSnapshotMemory = Slope{"live heap of a snapshot", "Memory", "blocks", "snapshot-B", "decide/brlookup", 0}
+	slopeLocatorMemory  = Slope{"live heap of the look-up table", "Memory", "blocks", "locator-B", "decide/brlookup", 0}
+	slopeChange         = Slope{"a change of a block, applied and compiled", "Advance", "blocks", "ns/op", "decide/brlookup", 0}
+	slopeChangeVM       = Slope{"a change of a VM, applied and compiled", "AdvanceVM", "VMs", "ns/op", "decide/brlookup", 0}
+	slopeRebuild        = Slope{"the look-up table built anew", "Rebuild", "blocks", "ns/op", "decide/brlookup", 0}
+	slopeSnapshotBytes  = Slope{"an encoded snapshot", "Snapshot", "blocks", "encoded-B", "codec/brdocument", 0}
+	slopeSnapshotTime   = Slope{"a snapshot encoded and read", "Snapshot", "blocks", "ns/op", "codec/brdocument", 0}
+	slopeKeychain       = Slope{"a granted key", "Advance", "organisations", "ns/op", "decide/brkey", 0}
+	slopeRenewals       = Slope{"a tick over accounts", "Renewals", "organisations", "ns/op", "decide/brshare", 0}
+	slopeWitnesses      = Slope{"the choice of witnesses", "Choose", "VMs", "ns/op", "decide/brwitness", 0}
+	slopePlan           = Slope{"a plan of sources", "NewPlan", "VMs", "ns/op", "decide/brspread", 0}
+	slopeListTime       = Slope{"a reading of the VM list", "List", "VMs", "ns/op", "peer/brvmlist", 0}
+	slopeListBytes      = Slope{"the VM list", "List", "VMs", "list-B", "peer/brvmlist", 0}
+	slopeRecord         = Slope{"events recorded", "Record", "events", "ns/op", "duty/brtimeline", 0}
+	slopeRecordMemory   = Slope{"live heap of a time line", "Record", "events", "heap-B", "duty/brtimeline", 0}
+	slopeClaim          = Slope{"transactions for claims that wait together", "Claim", "claims", "transactions", "duty/brclaiming", 0}
+	slopeIdle           = Slope{"bodies of a VM without changes", "InForce", "VMs", "idle-B/s/VM", "duty/brfollowing", 50}
+	slopeSpread         = Slope{"bodies of a VM for a change", "InForce", "VMs", "change-B/VM", "duty/brfollowing", 50}
+	slopeWritesDomains  = Slope{"writes of the shares, 24 VMs", "TableWrites", "domains", "writes/s", "duty/brlending", 0}
+	slopeWritesVMs      = Slope{"writes of the shares, 2 domains", "TableWrites", "VMs", "writes/s", "duty/brlending", 0}
+)
+
+// The slopes of VMs as processes.
+var (
+	slopeProcessIdle     = Slope{"processor time of an idle VM", "Fleet", "VMs", "idle-ms/s/VM", "tests", 0}
+	slopeProcessChanging = Slope{"processor time of a VM under changes", "Fleet", "VMs", "changing-ms/s/VM", "tests", 0}
+	slopeProcessMemory   = Slope{"resident memory of a VM with a small configuration", "Fleet", "VMs", "resident-MB/VM", "tests", 0}
+)
+
+// Slopes returns all measured slopes.
+func Slopes() []Slope {
+	return []Slope{
+		slopeLocate, slopeSnapshotMemory, slopeLocatorMemory, slopeChange, slopeChangeVM, slopeRebuild,
+		slopeSnapshotBytes, slopeSnapshotTime, slopeKeychain, slopeRenewals, slopeWitnesses, slopePlan,
+		slopeListTime, slopeListBytes, slopeRecord, slopeRecordMemory, slopeClaim,
+		slopeIdle, slopeSpread, slopeWritesDomains, slopeWritesVMs,
+		slopeProcessIdle, slopeProcessChanging, slopeProcessMemory,
+	}
+}
+
+// Model works out the costs of the roles at the target.
+type Model struct {
+	fits map[Slope]Fit
+}
+
+// NewModel fits all slopes to the series that read returns.
+func NewModel(read func(Slope) (Series, error)) (*Model, error) {
+	m := &Model{fits: map[Slope]Fit{}}
+	for _, s := range Slopes() {
+		series, err := read(s)
+		if err != nil {
+			return nil, errors.Errorf("read slope %q: %w", s.name, err)
+		}
+		fit, err := series.From(s.from).Fit()
+		if err != nil {
+			return nil, errors.Errorf("fit slope %q: %w", s.name, err)
+		}
+		m.fits[s] = fit
+	}
+	return m, nil
+}
+
+// Fit returns the line of a slope.
+func (m *Model) Fit(s Slope) Fit { return m.fits[s] }
+
+// at returns the cost of a slope at a size.
+func (m *Model) at(s Slope, size float64) Quantity {
+	return m.fits[s].At(s.name, size)
+}
--- a/internal/decide/brlookup/locator_test.go
+++ b/internal/decide/brlookup/locator_test.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"fmt"
 	"net/netip"
+	"runtime"
 	"testing"
 	"time"
 
@@ -77,8 +78,12 @@
 )
 
 func benchSnapshot(b *testing.B, blocks int) *brconfig.Snapshot {
+	return benchSnapshotOf(b, blocks, benchVMs)
+}
+
+func benchSnapshotOf(b *testing.B, blocks, vms int) *brconfig.Snapshot {
 	changes := places(benchSites)
-	for i := range benchVMs {
+	for i := range vms {
 		name := fmt.Sprintf("vm-%d", i)
 		changes = append(changes, brconfig.Put(brconfig.NewVM(brconfig.NewMeta(name), fmt.Sprintf("site-%d", i%benchSites), name, name)))
 	}
@@ -120,14 +125,18 @@
 }
 
 func BenchmarkAdvanceVM(b *testing.B) {
-	snapshot := benchSnapshot(b, 110_000)
-	locator := brlookup.NewLocator(snapshot)
-	b.ReportAllocs()
-	b.ResetTimer()
-	for i := range b.N {
-		vm := brconfig.NewVM(brconfig.NewMeta("vm-1"), fmt.Sprintf("site-%d", i%benchSites), "vm-1", "vm-1")
-		snapshot = apply(b, snapshot, []brconfig.Change{brconfig.Put(vm)})
-		locator = locator.Advance(snapshot)
+	for _, vms := range []int{1000, 3200, benchVMs} {
+		b.Run(fmt.Sprintf("VMs=%d", vms), func(b *testing.B) {
+			snapshot := benchSnapshotOf(b, 10_000, vms)
+			locator := brlookup.NewLocator(snapshot)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				vm := brconfig.NewVM(brconfig.NewMeta("vm-1"), fmt.Sprintf("site-%d", i%benchSites), "vm-1", "vm-1")
+				snapshot = apply(b, snapshot, []brconfig.Change{brconfig.Put(vm)})
+				locator = locator.Advance(snapshot)
+			}
+		})
 	}
 }
 
@@ -145,11 +154,41 @@
 }
 
 func BenchmarkLocate(b *testing.B) {
-	const blocks = 110_000
-	locator := brlookup.NewLocator(benchSnapshot(b, blocks))
-	b.ReportAllocs()
-	b.ResetTimer()
-	for i := range b.N {
-		locator.Locate(benchClient(i % blocks))
+	for _, blocks := range []int{1000, 10_000, 110_000} {
+		b.Run(fmt.Sprintf("blocks=%d", blocks), func(b *testing.B) {
+			locator := brlookup.NewLocator(benchSnapshot(b, blocks))
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				locator.Locate(benchClient(i % blocks))
+			}
+		})
 	}
 }
+
+// BenchmarkMemory measures the live heap of a snapshot and its locator.
+func BenchmarkMemory(b *testing.B) {
+	for _, blocks := range []int{1000, 10_000, 110_000} {
+		b.Run(fmt.Sprintf("blocks=%d", blocks), func(b *testing.B) {
+			for range b.N {
+				before := liveHeap()
+				snapshot := benchSnapshot(b, blocks)
+				held := liveHeap()
+				locator := brlookup.NewLocator(snapshot)
+				compiled := liveHeap()
+				runtime.KeepAlive(locator)
+				runtime.KeepAlive(snapshot)
+				b.ReportMetric(held-before, "snapshot-B")
+				b.ReportMetric(compiled-held, "locator-B")
+			}
+		})
+	}
+}
+
+// liveHeap returns the bytes that are reachable.
+func liveHeap() float64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc)
+}
--- a/internal/duty/brfollowing/measure_test.go
+++ b/internal/duty/brfollowing/measure_test.go
@@ -11,7 +11,7 @@
 // BenchmarkInForce measures, on fake time, how long an accepted change takes
 // until all VMs have it, and what a VM sends meanwhile and when nothing changes.
 func BenchmarkInForce(b *testing.B) {
-	for _, vms := range []int{10, 200} {
+	for _, vms := range []int{10, 50, 100, 200, 400} {
 		b.Run(fmt.Sprintf("VMs=%d", vms), func(b *testing.B) {
 			result := measurement{}
 			b.ResetTimer()
--- a/internal/model/brconfig/apply_test.go
+++ b/internal/model/brconfig/apply_test.go
@@ -122,13 +122,13 @@
 func BenchmarkApply(b *testing.B) {
 	for _, blocks := range []int{1_000, 10_000, 110_000} {
 		snapshot := largeSnapshot(b, blocks)
-		b.Run(fmt.Sprint("put/", blocks), func(b *testing.B) {
+		b.Run(fmt.Sprintf("put/blocks=%d", blocks), func(b *testing.B) {
 			for i := range b.N {
 				_, err := snapshot.Apply(2, []brconfig.Change{brconfig.Put(benchmarkBlock(i%blocks, i))})
 				require.NoError(b, err)
 			}
 		})
-		b.Run(fmt.Sprint("delete/", blocks), func(b *testing.B) {
+		b.Run(fmt.Sprintf("delete/blocks=%d", blocks), func(b *testing.B) {
 			for i := range b.N {
 				_, err := snapshot.Apply(2, []brconfig.Change{brconfig.Delete(brconfig.NewReference(brconfig.KindBlock, fmt.Sprint("b", i%blocks)))})
 				require.NoError(b, err)
