Add demo: two regions in one process, judged by what was observed

Cause: nobody could see the promises kept or broken without a set-up of their own. The stand-in server counts runs by URI.

--- /dev/null
+++ b/internal/command/brcommand/demo.go
@@ -0,0 +1,39 @@
+package brcommand
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+
+	"bergamotroad.example/bergamotroad/internal/command/brdemo"
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+)
+
+// standardDemo is how long the callers of the demo send requests.
+const standardDemo = 22 * time.Second
+
+func newDemo() *cobra.Command {
+	var duration time.Duration
+	command := &cobra.Command{
+		Use:   "demo",
+		Short: "Run two regions in one process and judge what was promised",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			output := command.OutOrStdout()
+			report, err := brdemo.New(brclock.NewSystem(), duration, output).Run(command.Context())
+			if err != nil {
+				return errors.Errorf("demo: %w", err)
+			}
+			if err := report.Print(output); err != nil {
+				return err
+			}
+			if report.Broken() {
+				return errors.New("demo: a promise was broken")
+			}
+			return nil
+		},
+	}
+	command.Flags().DurationVar(&duration, "duration", standardDemo, "how long callers send requests")
+	return command
+}
--- /dev/null
+++ b/internal/command/brdemo/demo.go
@@ -0,0 +1,115 @@
+// Package brdemo runs the whole system in one process for a bounded time and
+// judges what it promised by what was observed.
+//
+// Two regions with four failure domains run six entry VMs over a stand-in
+// platform, with backend servers, and callers of three organisations. While
+// they send requests, one organisation exceeds its rate, a key is withdrawn, a
+// server and a VM leave, and the platform goes down.
+//
+// # Usage
+//
+//	demo := brdemo.New(brclock.NewSystem(), 30*time.Second, os.Stdout)
+//	report, err := demo.Run(ctx)
+//	err = report.Print(os.Stdout)
+//	if report.Broken() {
+//		// a promise was broken
+//	}
+package brdemo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+)
+
+// progressPeriod is the time between two lines of progress.
+const progressPeriod = time.Second
+
+// Demo is one run.
+type Demo struct {
+	clock    brclock.Clock
+	duration time.Duration
+	output   io.Writer
+}
+
+// New returns a run whose callers send requests for a duration, with lines of
+// progress to a writer.
+func New(clock brclock.Clock, duration time.Duration, output io.Writer) *Demo {
+	return &Demo{clock: clock, duration: duration, output: output}
+}
+
+// Run starts the system, lets the phases happen and returns the verdicts.
+func (d *Demo) Run(ctx context.Context) (Report, error) {
+	fleet, err := startFleet(ctx, d.clock)
+	if err != nil {
+		return Report{}, errors.Errorf("start VMs: %w", err)
+	}
+	defer fleet.stop()
+	start := d.clock.Now()
+	if err := fleet.configure(ctx); err != nil {
+		return Report{}, errors.Errorf("apply configuration: %w", err)
+	}
+	crowd := newCrowd(d.clock, fleet)
+	crowd.start()
+	history, err := d.playPhases(ctx, fleet, crowd)
+	observed := observation{
+		history: history.withSpan(start, d.clock.Now()),
+		records: crowd.finish(),
+		lookups: crowd.lookups.Load(),
+		servers: fleet.servers,
+		stopped: fleet.stopped,
+	}
+	if err != nil {
+		return Report{}, err
+	}
+	return judge(observed), nil
+}
+
+// playPhases runs each phase when it is due, and prints progress in between.
+func (d *Demo) playPhases(ctx context.Context, fleet *fleet, crowd *crowd) (history, error) {
+	start := d.clock.Now()
+	happened := history{}
+	current := "look-ups and keyed requests"
+	for _, p := range phases {
+		if err := d.wait(ctx, start, d.duration.Seconds()*p.at, current, crowd); err != nil {
+			return happened, err
+		}
+		current = p.name
+		if err := p.run(ctx, d.clock, fleet, crowd, &happened); err != nil {
+			return happened, errors.Errorf("%s: %w", p.name, err)
+		}
+	}
+	return happened, d.wait(ctx, start, d.duration.Seconds(), current, crowd)
+}
+
+func (d *Demo) wait(ctx context.Context, start time.Time, seconds float64, phase string, crowd *crowd) error {
+	end := start.Add(time.Duration(seconds * float64(time.Second)))
+	for {
+		left := end.Sub(d.clock.Now())
+		if left <= 0 {
+			return nil
+		}
+		if err := sleep(ctx, d.clock, min(left, progressPeriod)); err != nil {
+			return errors.Errorf("demo ended early: %w", err)
+		}
+		_, _ = fmt.Fprintf(d.output, "%5.1fs  %-28s look-ups %d  sent %d  ran %d  refused %d  failed %d\n",
+			d.clock.Now().Sub(start).Seconds(), phase,
+			crowd.lookups.Load(), crowd.sent.Load(), crowd.ran.Load(), crowd.refused.Load(), crowd.failed.Load())
+	}
+}
+
+func sleep(ctx context.Context, clock brclock.Clock, duration time.Duration) error {
+	timer := clock.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C():
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
--- /dev/null
+++ b/internal/command/brdemo/document.go
@@ -0,0 +1,100 @@
+package brdemo
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"strconv"
+
+	"github.com/go-faster/errors"
+)
+
+// The organisations, by what they do.
+const (
+	orgSteady    = "taller-norte"
+	orgGreedy    = "estudio-sur"
+	orgWithdrawn = "taller-este"
+)
+
+const (
+	serviceLookup = "lookup"
+	serviceLedger = "ledger"
+	pathLookup    = "/cylinders/"
+	pathLedger    = "/entries/"
+)
+
+// The contract of the organisation that exceeds its rate.
+const (
+	greedyRate  = 40 // requests a second
+	greedyBurst = 20 // requests
+)
+
+type document struct {
+	Kind string         `json:"kind"`
+	Name string         `json:"name"`
+	Spec map[string]any `json:"spec,omitempty"`
+}
+
+// keyOf returns the key that an organisation's callers show.
+func keyOf(organisation string) string { return organisation + "-demo-key" }
+
+func keyName(organisation string) string { return organisation + "-1" }
+
+func (s *server) document(state string) document {
+	return document{"server", s.name, map[string]any{
+		"service": s.service, "domain": s.domain, "address": s.address, "slots": s.standin.Slots(), "state": state,
+	}}
+}
+
+func (f *fleet) documents() ([]json.RawMessage, error) {
+	all := f.placeDocuments()
+	for _, name := range []string{orgSteady, orgGreedy, orgWithdrawn} {
+		hash := sha256.Sum256([]byte(keyOf(name)))
+		all = append(all,
+			document{"organisation", name, nil},
+			document{"key", keyName(name), map[string]any{"organisation": name, "hash": hex.EncodeToString(hash[:])}})
+	}
+	all = append(all,
+		document{"unit", "request", map[string]any{"standard": "1"}},
+		document{"contract", orgGreedy, map[string]any{
+			"organisation": orgGreedy, "unit": "request",
+			"rate": strconv.Itoa(greedyRate), "period": "1s", "burst": strconv.Itoa(greedyBurst),
+		}},
+		document{"service", serviceLookup, nil},
+		document{"service", serviceLedger, nil},
+		document{"route", "cylinders", map[string]any{"service": serviceLookup, "pathPrefix": pathLookup, "repeat": "any"}},
+		document{"route", "entries", map[string]any{"service": serviceLedger, "pathPrefix": pathLedger, "repeat": "once"}})
+	for _, s := range f.servers {
+		all = append(all, s.document("serving"))
+	}
+	return encode(all)
+}
+
+func (f *fleet) placeDocuments() []document {
+	all := []document{{"region", "montevideo", nil}, {"region", "este", nil}}
+	distances := []map[string]string{}
+	for _, d := range domains() {
+		all = append(all,
+			document{"domain", d, map[string]any{"region": regionOf(d)}},
+			document{"site", d, map[string]any{"domain": d}})
+		distances = append(distances, map[string]string{"site": d, "roundTrip": "16ms"})
+	}
+	for _, v := range f.vms {
+		all = append(all, document{"vm", v.name, map[string]any{
+			"site": v.domain, "callerAddress": v.callers, "peerAddress": v.peers,
+		}})
+	}
+	return append(all, document{"block", "local", map[string]any{"prefix": "127.0.0.0/8", "distances": distances}})
+}
+
+func encode(documents []document) ([]json.RawMessage, error) {
+	encoded := make([]json.RawMessage, 0, len(documents))
+	for _, d := range documents {
+		data, err := json.Marshal(d)
+		if err != nil {
+			return nil, errors.Errorf("encode %s %q: %w", d.Kind, d.Name, err)
+		}
+		encoded = append(encoded, data)
+	}
+	return encoded, nil
+}
--- /dev/null
+++ b/internal/command/brdemo/judge.go
@@ -0,0 +1,211 @@
+package brdemo
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	withdrawalLimit = 7 * time.Second
+	leavingLimit    = 3 * time.Second
+)
+
+// observation is all that a run gave to see.
+type observation struct {
+	history history
+	records []record
+	lookups int64
+	servers []*server
+	stopped chan error
+}
+
+func judge(o observation) Report {
+	runs := o.runs()
+	return Report{verdicts: []Verdict{
+		o.judgeLookups(),
+		o.judgeRate(runs),
+		o.judgeSlots(),
+		o.judgeKeys(),
+		o.judgeWithdrawal(),
+		o.judgeLeaving(),
+		o.judgeStop(),
+		o.judgeOutage(),
+		o.judgeAnswers(),
+		o.judgeRefusals(runs),
+		o.judgeOnce(runs),
+	}}
+}
+
+// runs returns how often each request ran, over all servers.
+func (o observation) runs() map[string]int {
+	sum := map[string]int{}
+	for _, s := range o.servers {
+		for uri, count := range s.standin.RunsByURI() {
+			sum[uri] += count
+		}
+	}
+	return sum
+}
+
+// verdict returns a promise that was kept unless broken, where anything was seen.
+func verdict(promise string, seen, broken bool, format string, values ...any) Verdict {
+	status := StatusKept
+	switch {
+	case broken:
+		status = StatusBroken
+	case !seen:
+		status = StatusNotObserved
+	}
+	return Verdict{promise: promise, observed: fmt.Sprintf(format, values...), status: status}
+}
+
+func (v Verdict) withTime() Verdict {
+	v.timed = true
+	return v
+}
+
+func (o observation) judgeLookups() Verdict {
+	return verdict("look-ups name VMs", o.lookups > 0, false, "%d look-ups answered", o.lookups)
+}
+
+func (o observation) judgeRate(runs map[string]int) Verdict {
+	ran, refused := 0, 0
+	for _, r := range o.records {
+		if r.organisation != orgGreedy {
+			continue
+		}
+		if runs[r.uri] > 0 {
+			ran++
+		}
+		if r.status == http.StatusTooManyRequests {
+			refused++
+		}
+	}
+	elapsed := o.history.end.Sub(o.history.start)
+	allowed := greedyRate*elapsed.Seconds() + greedyBurst
+	return verdict("an organisation gets at most its rate and burst", refused > 0, float64(ran) > allowed,
+		"%d ran, %.0f allowed in %.1f s, %d refused", ran, allowed, elapsed.Seconds(), refused)
+}
+
+func (o observation) judgeSlots() Verdict {
+	most, shed, ran := 0, 0, 0
+	for _, s := range o.servers {
+		most = max(most, s.standin.MostAtOnce())
+		shed += s.standin.Shed()
+		ran += s.standin.Runs()
+	}
+	return verdict("no server gets more than its slots", ran > 0, shed > 0 || most > serverSlots,
+		"at most %d of %d at once, %d beyond", most, serverSlots, shed)
+}
+
+func (o observation) judgeKeys() Verdict {
+	keys, ran := 0, 0
+	for _, s := range o.servers {
+		keys += s.standin.KeysSeen()
+		ran += s.standin.Runs()
+	}
+	return verdict("no server sees a key", ran > 0, keys > 0, "%d requests ran, %d with a key", ran, keys)
+}
+
+func (o observation) judgeWithdrawal() Verdict {
+	const promise = "a withdrawn key is refused within 5 s + 2 s"
+	withdrawn := o.history.keyWithdrawn
+	last, refused := withdrawn, 0
+	for _, r := range o.records {
+		if r.organisation != orgWithdrawn || withdrawn.IsZero() || !r.sent.After(withdrawn) {
+			continue
+		}
+		if r.fate == fateRan && r.sent.After(last) {
+			last = r.sent
+		}
+		if r.reason == reasonOfUnknown {
+			refused++
+		}
+	}
+	took := last.Sub(withdrawn)
+	return verdict(promise, refused > 0, took > withdrawalLimit, "last honoured after %.2f s, %d refused", took.Seconds(), refused).withTime()
+}
+
+func (o observation) judgeLeaving() Verdict {
+	const promise = "a leaving server gets nothing new after 3 s"
+	if o.history.serverLeaving.IsZero() {
+		return verdict(promise, false, false, "no server left").withTime()
+	}
+	deadline := o.history.serverLeaving.Add(leavingLimit)
+	last := o.servers[leavingServer].standin.LastStart()
+	seen := o.history.end.After(deadline) && !last.IsZero()
+	return verdict(promise, seen, last.After(deadline), "newest request %.2f s after the change", last.Sub(o.history.serverLeaving).Seconds()).withTime()
+}
+
+func (o observation) judgeStop() Verdict {
+	cut := 0
+	for _, r := range o.records {
+		if r.cut {
+			cut++
+		}
+	}
+	select {
+	case err := <-o.stopped:
+		return verdict("a planned stop cuts no request", true, cut > 0 || err != nil, "%d requests cut, VM ended with %v", cut, err)
+	default:
+		return verdict("a planned stop cuts no request", false, cut > 0, "%d requests cut, VM had not ended", cut)
+	}
+}
+
+func (o observation) judgeOutage() Verdict {
+	sent, ran := 0, 0
+	for _, r := range o.records {
+		if r.organisation != orgSteady || r.sent.Before(o.history.outageStart) || r.sent.After(o.history.outageEnd) {
+			continue
+		}
+		sent++
+		if r.fate == fateRan {
+			ran++
+		}
+	}
+	return verdict("keyed requests run while the platform is down", sent > 0, sent > 0 && ran == 0, "%d of %d ran", ran, sent).withTime()
+}
+
+func (o observation) judgeAnswers() Verdict {
+	answers, wrong := 0, 0
+	for _, r := range o.records {
+		if r.fate != fateRan || r.status != http.StatusOK {
+			continue
+		}
+		answers++
+		if !r.matches {
+			wrong++
+		}
+	}
+	return verdict("each answer belongs to its request", answers > 0, wrong > 0, "%d answers, %d wrong", answers, wrong)
+}
+
+func (o observation) judgeRefusals(runs map[string]int) Verdict {
+	refused, ran := 0, 0
+	for _, r := range o.records {
+		if r.fate != fateNotRun {
+			continue
+		}
+		refused++
+		if runs[r.uri] > 0 {
+			ran++
+		}
+	}
+	return verdict("what is said to be not run did not run", refused > 0, ran > 0, "%d refused, %d of them ran", refused, ran)
+}
+
+func (o observation) judgeOnce(runs map[string]int) Verdict {
+	ran, twice := 0, 0
+	for uri, count := range runs {
+		if !strings.HasPrefix(uri, pathLedger) {
+			continue
+		}
+		ran++
+		if count > 1 {
+			twice++
+		}
+	}
+	return verdict("what may run once runs at most once", ran > 0, twice > 0, "%d ran, %d of them twice", ran, twice)
+}
--- /dev/null
+++ b/internal/command/brdemo/report.go
@@ -0,0 +1,70 @@
+package brdemo
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/go-faster/errors"
+)
+
+// Status says what became of a promise.
+type Status string
+
+// The statuses of promises.
+const (
+	StatusKept        Status = "kept"
+	StatusBroken      Status = "broken"
+	StatusNotObserved Status = "not observed"
+)
+
+// Verdict is one promise with what was observed of it.
+type Verdict struct {
+	promise  string
+	observed string
+	status   Status
+	timed    bool
+}
+
+// Promise returns what was promised.
+func (v Verdict) Promise() string { return v.promise }
+
+// Observed returns what was seen.
+func (v Verdict) Observed() string { return v.observed }
+
+// Status returns what became of the promise.
+func (v Verdict) Status() Status { return v.status }
+
+// Timed reports whether the promise sets a time within which something happens.
+func (v Verdict) Timed() bool { return v.timed }
+
+// Report is the verdicts of a run.
+type Report struct {
+	verdicts []Verdict
+}
+
+// Verdicts returns the verdicts. The caller must not change the slice.
+func (r Report) Verdicts() []Verdict { return r.verdicts }
+
+// Broken reports whether a promise was broken.
+func (r Report) Broken() bool {
+	for _, v := range r.verdicts {
+		if v.status == StatusBroken {
+			return true
+		}
+	}
+	return false
+}
+
+// Print writes the verdicts as a table.
+func (r Report) Print(output io.Writer) error {
+	writer := tabwriter.NewWriter(output, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(writer, "PROMISE\tOBSERVED\tVERDICT")
+	for _, v := range r.verdicts {
+		_, _ = fmt.Fprintf(writer, "%s\t%s\t%s\n", v.promise, v.observed, v.status)
+	}
+	if err := writer.Flush(); err != nil {
+		return errors.Errorf("print report: %w", err)
+	}
+	return nil
+}
--- a/internal/standin/brserver/server.go
+++ b/internal/standin/brserver/server.go
@@ -12,6 +12,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -33,12 +34,14 @@
 	most    int
 	shed    int
 	byID    map[string]int
+	byURI   map[string]int
+	last    time.Time
 	keys    int
 }
 
 // New returns a cold server that runs slots requests at a time, each for the service time.
 func New(slots int, service time.Duration) *Server {
-	return &Server{slots: slots, service: service, byID: map[string]int{}}
+	return &Server{slots: slots, service: service, byID: map[string]int{}, byURI: map[string]int{}}
 }
 
 // Runs returns how many requests have run.
@@ -55,6 +58,23 @@
 	return s.byID[id]
 }
 
+// RunsByURI returns how often each request URI has run.
+func (s *Server) RunsByURI() map[string]int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return maps.Clone(s.byURI)
+}
+
+// LastStart returns when the newest request began to run, or the zero time.
+func (s *Server) LastStart() time.Time {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.last
+}
+
+// Slots returns how many requests the server runs at a time.
+func (s *Server) Slots() int { return s.slots }
+
 // MostAtOnce returns the highest number of requests that ran at a time.
 func (s *Server) MostAtOnce() int {
 	s.mutex.Lock()
@@ -109,6 +129,8 @@
 	}
 	s.running++
 	s.runs++
+	s.byURI[r.URL.RequestURI()]++
+	s.last = time.Now()
 	s.most = max(s.most, s.running)
 	if id := r.Header.Get("X-Request-Id"); id != "" {
 		s.byID[id]++
