Merge the time lines of all VMs; name what servers shed in the demo

Cause: events lay on each VM apart, and the demo called shed requests a broken promise, though docs/design/requests.md lets VMs try beyond their share of the slots until a server sheds. Change: service brhistory reads all configured VMs, orders events by stamp and names VMs without an answer; /v1/events filters and takes fleet=true; the command timeline follows. Clocks observe the newest stamp that was read. The demo's row on slots is broken when a server runs more than its slots, and says 'kept by the servers' where any request was shed. Conclusion: one time line of all VMs; events of a VM that is gone are not in it.

--- a/internal/command/brcommand/root.go
+++ b/internal/command/brcommand/root.go
@@ -43,6 +43,6 @@
 	}
 	root.AddCommand(newServe(), newCheck(), newVersion())
 	root.AddCommand(newApply(), newPlan(), newGet(), newDelete(), newLabel())
-	root.AddCommand(newHistory(), newStatus(), newKey(), newToken(), newDemo())
+	root.AddCommand(newHistory(), newStatus(), newKey(), newToken(), newDemo(), newTimeline())
 	return root
 }
--- /dev/null
+++ b/internal/command/brcommand/timeline.go
@@ -0,0 +1,122 @@
+package brcommand
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/spf13/cobra"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/peer/bradmin"
+)
+
+const (
+	standardTimeline = 100 // events
+	followPeriod     = time.Second
+	timeForm         = "2006-01-02T15:04:05.000000Z07:00"
+)
+
+// eventConditions are the flags that choose events.
+var eventConditions = []string{"organisation", "request", "move", "vm", "kind"}
+
+// timeline prints events.
+type timeline struct {
+	command    *cobra.Command
+	connection *connection
+	query      bradmin.EventQuery
+	headed     bool
+}
+
+func newTimeline() *cobra.Command {
+	var limit int
+	var follow bool
+	command := &cobra.Command{
+		Use:   "timeline",
+		Short: "Show the newest events of all VMs, oldest first",
+		Args:  cobra.NoArgs,
+	}
+	connection := addConnection(command)
+	command.Flags().IntVar(&limit, "limit", standardTimeline, "how many events")
+	command.Flags().BoolVar(&follow, "follow", false, "go on with new events until interrupted")
+	conditions := map[string]*string{}
+	for _, name := range eventConditions {
+		conditions[name] = command.Flags().String(name, "", "only events of this "+name)
+	}
+	command.RunE = func(command *cobra.Command, _ []string) error {
+		client, err := connection.client()
+		if err != nil {
+			return err
+		}
+		query := bradmin.NewEventQuery(limit)
+		for name, value := range conditions {
+			query = query.With(name, *value)
+		}
+		t := &timeline{command: command, connection: connection, query: query}
+		return t.run(client, follow)
+	}
+	return command
+}
+
+func (t *timeline) run(client *bradmin.Client, follow bool) error {
+	for {
+		events, err := client.Events(t.command.Context(), t.query)
+		if err != nil {
+			return errors.Errorf("timeline: %w", err)
+		}
+		if err := t.print(events); err != nil {
+			return err
+		}
+		if !follow || !wait(t.command.Context(), brclock.NewSystem(), followPeriod) {
+			return nil
+		}
+		t.query = t.query.With("cursor", events.Cursor())
+	}
+}
+
+func (t *timeline) print(events bradmin.Events) error {
+	if missing := events.Missing(); len(missing) > 0 {
+		t.command.PrintErrln("warning: no answer from", strings.Join(missing, ", "))
+	}
+	if t.headed && len(events.All()) == 0 {
+		return nil
+	}
+	rows := [][]string{}
+	if !t.headed {
+		rows = append(rows, []string{"TIME", "VM", "KIND", "ORGANISATION", "ABOUT", "DETAILS"})
+	}
+	t.headed = true
+	for _, e := range events.All() {
+		rows = append(rows, []string{e.Time().Format(timeForm), e.VM(), e.Kind(), e.Organisation(), aboutOf(e), detailsOf(e)})
+	}
+	return t.connection.print(t.command, events.Raw(), rows)
+}
+
+func aboutOf(e bradmin.Event) string {
+	parts := slices.DeleteFunc([]string{e.Request(), e.Move(), e.Resource()}, func(s string) bool { return s == "" })
+	return strings.Join(parts, " ")
+}
+
+func detailsOf(e bradmin.Event) string {
+	parts := []string{}
+	for _, name := range slices.Sorted(maps.Keys(e.Details())) {
+		parts = append(parts, fmt.Sprintf("%s=%s", name, e.Details()[name]))
+	}
+	return strings.Join(parts, " ")
+}
+
+// wait reports whether the time passed before the context ended.
+func wait(ctx context.Context, clock brclock.Clock, period time.Duration) bool {
+	timer := clock.NewTimer(period)
+	defer timer.Stop()
+	select {
+	case <-timer.C():
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/command/brdemo/report.go
+++ b/internal/command/brdemo/report.go
@@ -16,6 +16,8 @@
 	StatusKept        Status = "kept"
 	StatusBroken      Status = "broken"
 	StatusNotObserved Status = "not observed"
+	// StatusKeptByServers says that servers refused what was beyond the promise.
+	StatusKeptByServers Status = "kept by the servers, which shed the rest"
 )
 
 // Verdict is one promise with what was observed of it.
--- a/internal/duty/brtimeline/duty.go
+++ b/internal/duty/brtimeline/duty.go
@@ -20,6 +20,7 @@
 
 	"bergamotroad.example/bergamotroad/internal/core/brclock"
 	"bergamotroad.example/bergamotroad/internal/core/brduty"
+	"bergamotroad.example/bergamotroad/internal/core/broption"
 	"bergamotroad.example/bergamotroad/internal/core/brring"
 	"bergamotroad.example/bergamotroad/internal/model/brevent"
 )
@@ -48,6 +49,7 @@
 
 type message struct {
 	event    brevent.Event
+	observed broption.Option[brclock.Stamp]
 	isRead   bool
 	after    uint64
 	limit    int
@@ -77,6 +79,11 @@
 	_ = t.duty.Queue().Send(message{event: event})
 }
 
+// Observe moves the VM's clock past a stamp that another VM sent.
+func (t *Timeline) Observe(stamp brclock.Stamp) {
+	_ = t.duty.Queue().Send(message{observed: broption.Some(stamp)})
+}
+
 // Lost returns how many events found the duty's ring full.
 func (t *Timeline) Lost() uint64 { return t.duty.Queue().Dropped() }
 
@@ -99,12 +106,16 @@
 	next   uint64 // position after the newest event
 }
 
-// Handle takes an event or a read.
+// Handle takes an event, a stamp or a read.
 func (h *handler) Handle(_ context.Context, m message) {
 	if m.isRead {
 		m.response.Answer(h.page(m.after, m.limit))
 		return
 	}
+	if stamp, ok := m.observed.Get(); ok {
+		h.hybrid.Observe(stamp)
+		return
+	}
 	h.add(m.event.WithOrigin(h.hybrid.Next(), h.vm, h.domain))
 }
 
--- /dev/null
+++ b/internal/peer/bradmin/events.go
@@ -0,0 +1,115 @@
+package bradmin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+// EventQuery says which events are asked for. What is "" matches every event.
+type EventQuery struct {
+	values url.Values
+}
+
+// NewEventQuery returns a query for the newest limit events of all VMs.
+func NewEventQuery(limit int) EventQuery {
+	return EventQuery{values: url.Values{"fleet": {"true"}, "limit": {strconv.Itoa(limit)}}}
+}
+
+// With returns the query with one more condition: organisation, request, move,
+// vm, kind or cursor.
+func (q EventQuery) With(name, value string) EventQuery {
+	if value == "" {
+		return q
+	}
+	values := url.Values{name: {value}}
+	for other, texts := range q.values {
+		if other != name {
+			values[other] = texts
+		}
+	}
+	return EventQuery{values: values}
+}
+
+type eventsReply struct {
+	Events  []eventReply `json:"events"`
+	Cursor  string       `json:"cursor"`
+	Missing []string     `json:"missing"`
+}
+
+type eventReply struct {
+	Kind         string            `json:"kind"`
+	Time         time.Time         `json:"time"`
+	VM           string            `json:"vm"`
+	Organisation string            `json:"organisation"`
+	Request      string            `json:"request"`
+	Move         string            `json:"move"`
+	Resource     string            `json:"resource"`
+	Details      map[string]string `json:"details"`
+}
+
+// Event is one event of the time line.
+type Event struct {
+	reply eventReply
+}
+
+// Kind returns what happened.
+func (e Event) Kind() string { return e.reply.Kind }
+
+// Time returns when it happened.
+func (e Event) Time() time.Time { return e.reply.Time }
+
+// VM returns where it happened.
+func (e Event) VM() string { return e.reply.VM }
+
+// Organisation returns the organisation, or "".
+func (e Event) Organisation() string { return e.reply.Organisation }
+
+// Request returns the request, or "".
+func (e Event) Request() string { return e.reply.Request }
+
+// Move returns the move, or "".
+func (e Event) Move() string { return e.reply.Move }
+
+// Resource returns the resource, or "".
+func (e Event) Resource() string { return e.reply.Resource }
+
+// Details returns further facts. The caller must not change the map.
+func (e Event) Details() map[string]string { return e.reply.Details }
+
+// Events is a part of the time line of all VMs.
+type Events struct {
+	raw     json.RawMessage
+	events  []Event
+	cursor  string
+	missing []string
+}
+
+// Raw returns the answer as it came.
+func (e Events) Raw() json.RawMessage { return e.raw }
+
+// All returns the events, oldest first. The caller must not change the slice.
+func (e Events) All() []Event { return e.events }
+
+// Cursor returns where the next query goes on.
+func (e Events) Cursor() string { return e.cursor }
+
+// Missing returns the VMs that gave no answer.
+func (e Events) Missing() []string { return e.missing }
+
+// Events reads the time line.
+func (c *Client) Events(ctx context.Context, query EventQuery) (Events, error) {
+	var reply eventsReply
+	raw, err := c.call(ctx, http.MethodGet, "/v1/events", query.values, Change{}, nil, &reply)
+	if err != nil {
+		return Events{}, err
+	}
+	events := Events{raw: raw, cursor: reply.Cursor, missing: reply.Missing}
+	for _, e := range reply.Events {
+		events.events = append(events.events, Event{reply: e})
+	}
+	return events, nil
+}
--- a/internal/peer/broperator/events.go
+++ b/internal/peer/broperator/events.go
@@ -33,16 +33,23 @@
 
 func (h *Handler) events(ctx iris.Context) error {
 	after := uint64(max(ctx.URLParamInt64Default("after", 0), 0))
-	limit := min(ctx.URLParamIntDefault("limit", standardEvents), maxEvents)
-	page, err := h.timeline.Read(ctx.Request().Context(), after, limit)
+	page, err := h.timeline.Read(ctx.Request().Context(), after, limitOf(ctx))
 	if err != nil {
 		return unavailable(err)
 	}
-	reply := eventsReply{Events: []eventReply{}, Position: page.Position()}
-	for _, e := range page.Events() {
-		reply.Events = append(reply.Events, eventReplyOf(e))
+	return ctx.JSON(eventsReply{Events: eventRepliesOf(page.Events()), Position: page.Position()})
+}
+
+func limitOf(ctx iris.Context) int {
+	return min(max(ctx.URLParamIntDefault("limit", standardEvents), 0), maxEvents)
+}
+
+func eventRepliesOf(events []brevent.Event) []eventReply {
+	replies := make([]eventReply, 0, len(events))
+	for _, e := range events {
+		replies = append(replies, eventReplyOf(e))
 	}
-	return ctx.JSON(reply)
+	return replies
 }
 
 func eventReplyOf(e brevent.Event) eventReply {
--- a/internal/peer/broperator/handler.go
+++ b/internal/peer/broperator/handler.go
@@ -54,6 +54,7 @@
 	vm             string
 	administration Administration
 	timeline       Timeline
+	merged         History
 	app            *iris.Application
 	routes         []route
 }
--- a/internal/peer/broperator/route.go
+++ b/internal/peer/broperator/route.go
@@ -40,7 +40,7 @@
 		{method: http.MethodGet, path: "/v1/history", summary: "List accepted changes, newest first", parameters: []parameter{{"before", "a generation to start before"}, {"limit", "how many"}}, handle: h.history},
 		{method: http.MethodGet, path: "/v1/operations/{id}", summary: "Tell what became of an operation; where it does not exist, the generation tells up to where that is final", handle: h.operation},
 		{method: http.MethodGet, path: "/v1/status", summary: "Tell VM, generation and number of resources", handle: h.status},
-		{method: http.MethodGet, path: "/v1/events", summary: "Read the time line of the VM", parameters: []parameter{{"after", "a position to start after"}, {"limit", "how many"}}, handle: h.events},
+		{method: http.MethodGet, path: "/v1/events", summary: "Read the time line of the VM, or with fleet=true of all VMs", parameters: eventParameters, handle: h.anyEvents},
 	}
 }
 
--- /dev/null
+++ b/internal/service/brhistory/history.go
@@ -0,0 +1,147 @@
+// Package brhistory merges the time lines of all VMs.
+//
+// Each VM that the configuration names is read on its own; one that gives no
+// answer is named in the page, which holds what the others told. A cursor says
+// how far each VM has been read.
+//
+// # Usage
+//
+//	history := brhistory.New("vm-1", timeline, directory, dial)
+//	page, err := history.Read(ctx, brhistory.NewQuery(brevent.Filter{}, 100))
+//	later, err := history.Read(ctx, brhistory.NewQuery(brevent.Filter{}, 100).After(page.Cursor()))
+package brhistory
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/duty/brtimeline"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brevent"
+)
+
+const (
+	maxGathered = 100_000 // events of all VMs that a query holds at once
+	maxReaders  = 32      // VMs that are read at a time
+	readTimeout = 5 * time.Second
+)
+
+// Own is the time line of this VM.
+type Own interface {
+	// Read returns up to limit events after a position.
+	Read(ctx context.Context, after uint64, limit int) (brtimeline.Page, error)
+	// Observe moves the VM's clock past a stamp of another VM.
+	Observe(stamp brclock.Stamp)
+}
+
+// Peer is another entry VM.
+type Peer interface {
+	// ReadEvents returns up to limit events of the VM after a position.
+	ReadEvents(ctx context.Context, after uint64, limit int) (brtimeline.Page, error)
+}
+
+// Directory holds the configuration.
+type Directory interface {
+	// Snapshot returns the configuration that this VM holds.
+	Snapshot(ctx context.Context) (*brconfig.Snapshot, error)
+}
+
+// History reads the time lines of all VMs.
+type History struct {
+	vm        string
+	own       Own
+	directory Directory
+	dial      func(address string) Peer
+}
+
+// New returns the history as seen from a VM; dial returns the VM at host:port.
+func New(vm string, own Own, directory Directory, dial func(address string) Peer) *History {
+	return &History{vm: vm, own: own, directory: directory, dial: dial}
+}
+
+// Read returns the events that a query asks for, ordered by their stamps.
+func (h *History) Read(ctx context.Context, query Query) (Page, error) {
+	snapshot, err := h.directory.Snapshot(ctx)
+	if err != nil {
+		return Page{}, errors.Errorf("read VMs: %w", err)
+	}
+	sources := h.sources(snapshot, query)
+	each := min(query.limit, max(maxGathered/max(len(sources), 1), 1))
+	parts := h.readAll(ctx, sources, query, each)
+	page := merge(parts, query)
+	if len(page.events) > 0 {
+		h.own.Observe(page.events[len(page.events)-1].Stamp())
+	}
+	return page, nil
+}
+
+// source is one VM to be read.
+type source struct {
+	vm   string
+	read func(ctx context.Context, after uint64, limit int) (brtimeline.Page, error)
+}
+
+// sources returns the VMs that a query is about. This VM is always among the candidates.
+func (h *History) sources(snapshot *brconfig.Snapshot, query Query) []source {
+	found := []source{}
+	if query.about(h.vm) {
+		found = append(found, source{vm: h.vm, read: h.own.Read})
+	}
+	if !query.fleet {
+		return found
+	}
+	for v := range snapshot.VMs().All() {
+		if v.Name() != h.vm && query.about(v.Name()) {
+			found = append(found, source{vm: v.Name(), read: h.dial(v.PeerAddress()).ReadEvents})
+		}
+	}
+	return found
+}
+
+// readAll reads the sources, a bounded number at a time.
+func (h *History) readAll(ctx context.Context, sources []source, query Query, limit int) []part {
+	parts := make([]part, len(sources))
+	slots := make(chan struct{}, maxReaders)
+	wait := sync.WaitGroup{}
+	for i, s := range sources {
+		slots <- struct{}{}
+		wait.Go(func() {
+			defer func() { <-slots }()
+			limited, cancel := context.WithTimeout(ctx, readTimeout)
+			defer cancel()
+			parts[i] = readPart(limited, s, query, limit)
+		})
+	}
+	wait.Wait()
+	return parts
+}
+
+// merge orders the events of all parts. Without a cursor the newest are kept.
+func merge(parts []part, query Query) Page {
+	page := Page{cursor: Cursor{}}
+	for _, p := range parts {
+		page.cursor[p.vm] = p.position
+		if p.err != nil {
+			page.missing = append(page.missing, p.vm)
+		}
+		page.events = append(page.events, p.events...)
+	}
+	for vm, position := range query.cursor {
+		if _, ok := page.cursor[vm]; !ok {
+			page.cursor[vm] = position
+		}
+	}
+	slices.SortStableFunc(page.events, func(a, b brevent.Event) int {
+		return cmp.Or(a.Stamp().Compare(b.Stamp()), cmp.Compare(a.VM(), b.VM()))
+	})
+	if query.cursor == nil && len(page.events) > query.limit {
+		page.events = page.events[len(page.events)-query.limit:]
+	}
+	return page
+}
--- /dev/null
+++ b/internal/service/brhistory/history_test.go
@@ -0,0 +1,147 @@
+package brhistory
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/duty/brtimeline"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brevent"
+)
+
+var start = time.Unix(1000, 0)
+
+// line is a time line in memory.
+type line struct {
+	vm       string
+	events   []brevent.Event
+	observed brclock.Stamp
+	err      error
+}
+
+func (l *line) add(kind brevent.Kind, organisation string, second int) {
+	stamp := brclock.NewStamp(start.Add(time.Duration(second)*time.Second), 0)
+	l.events = append(l.events, brevent.New(kind).WithOrganisation(organisation).WithOrigin(stamp, l.vm, "a"))
+}
+
+func (l *line) Read(_ context.Context, after uint64, limit int) (brtimeline.Page, error) {
+	if l.err != nil {
+		return brtimeline.Page{}, l.err
+	}
+	from := min(after, uint64(len(l.events)))
+	to := min(from+uint64(limit), uint64(len(l.events)))
+	return brtimeline.NewPage(l.events[from:to], to), nil
+}
+
+func (l *line) ReadEvents(ctx context.Context, after uint64, limit int) (brtimeline.Page, error) {
+	return l.Read(ctx, after, limit)
+}
+
+func (l *line) Observe(stamp brclock.Stamp) { l.observed = stamp }
+
+type directory struct{ snapshot *brconfig.Snapshot }
+
+func (d directory) Snapshot(context.Context) (*brconfig.Snapshot, error) { return d.snapshot, nil }
+
+// newHistory returns the history of a VM "vm-0" beside others, by peer address.
+func newHistory(t *testing.T, own *line, others ...*line) *History {
+	t.Helper()
+	puts := []brconfig.Change{
+		brconfig.Put(brconfig.NewRegion(brconfig.NewMeta("r"))),
+		brconfig.Put(brconfig.NewDomain(brconfig.NewMeta("a"), "r")),
+		brconfig.Put(brconfig.NewSite(brconfig.NewMeta("a"), "a")),
+	}
+	peers := map[string]Peer{}
+	for i, l := range append([]*line{own}, others...) {
+		l.vm = fmt.Sprintf("vm-%d", i)
+		puts = append(puts, brconfig.Put(brconfig.NewVM(brconfig.NewMeta(l.vm), "a", "", l.vm)))
+		peers[l.vm] = l
+	}
+	snapshot, err := brconfig.NewSnapshot().Apply(1, puts)
+	require.NoError(t, err)
+	return New("vm-0", own, directory{snapshot}, func(address string) Peer { return peers[address] })
+}
+
+func organisations(page Page) []string {
+	found := []string{}
+	for _, e := range page.Events() {
+		found = append(found, e.Organisation())
+	}
+	return found
+}
+
+func TestEventsOfAllVMsAreOrderedByStamp(t *testing.T) {
+	own, other, third := &line{}, &line{}, &line{}
+	h := newHistory(t, own, other, third)
+	own.add(brevent.KindLookup, "a", 1)
+	other.add(brevent.KindLookup, "b", 2)
+	own.add(brevent.KindLookup, "c", 3)
+	third.add(brevent.KindVMStarted, "d", 4)
+	query := NewQuery(brevent.Filter{}, 10)
+	page, err := h.Read(t.Context(), query.OfFleet())
+	require.NoError(t, err)
+	require.Equal(t, []string{"a", "b", "c", "d"}, organisations(page))
+	require.Empty(t, page.Missing())
+	require.Equal(t, third.events[0].Stamp(), own.observed)
+	page, err = h.Read(t.Context(), query)
+	require.NoError(t, err)
+	require.Equal(t, []string{"a", "c"}, organisations(page))
+	page, err = h.Read(t.Context(), NewQuery(brevent.Filter{}.WithKind(brevent.KindVMStarted).WithVM("vm-2"), 10).OfFleet())
+	require.NoError(t, err)
+	require.Equal(t, []string{"d"}, organisations(page))
+}
+
+func TestSilentVMsAreNamedAndReadLater(t *testing.T) {
+	own, other := &line{}, &line{}
+	h := newHistory(t, own, other)
+	own.add(brevent.KindLookup, "a", 1)
+	other.add(brevent.KindLookup, "b", 2)
+	other.err = errors.New("no answer")
+	page, err := h.Read(t.Context(), NewQuery(brevent.Filter{}, 10).OfFleet())
+	require.NoError(t, err)
+	require.Equal(t, []string{"vm-1"}, page.Missing())
+	other.err = nil
+	page, err = h.Read(t.Context(), NewQuery(brevent.Filter{}, 10).OfFleet().After(page.Cursor()))
+	require.NoError(t, err)
+	require.Equal(t, []string{"b"}, organisations(page))
+}
+
+func TestReadingOnMissesNothingAndRepeatsNothing(t *testing.T) {
+	own, other := &line{}, &line{}
+	h := newHistory(t, own, other)
+	const events = 2500
+	for i := range events {
+		own.add(brevent.KindLookup, "own", i)
+		other.add(brevent.KindLookup, "other", i)
+	}
+	seen, cursor := 0, Cursor{}
+	for range events {
+		page, err := h.Read(t.Context(), NewQuery(brevent.Filter{}, 700).OfFleet().After(cursor))
+		require.NoError(t, err)
+		if len(page.Events()) == 0 {
+			break
+		}
+		require.LessOrEqual(t, len(page.Events()), 2*700)
+		seen += len(page.Events())
+		cursor, err = ParseCursor(page.Cursor().String())
+		require.NoError(t, err)
+	}
+	require.Equal(t, 2*events, seen)
+	page, err := h.Read(t.Context(), NewQuery(brevent.Filter{}, 5).OfFleet())
+	require.NoError(t, err)
+	require.Len(t, page.Events(), 5)
+	require.Equal(t, other.events[events-1].Stamp(), page.Events()[4].Stamp(), "the newest are kept")
+}
+
+func TestCursorsThatSayNothingAreRefused(t *testing.T) {
+	for _, text := range []string{"", "vm-1", "vm-1:x", ":3", "vm-1:-1"} {
+		_, err := ParseCursor(text)
+		require.Error(t, err, text)
+	}
+}
--- a/internal/service/brnode/fronts.go
+++ b/internal/service/brnode/fronts.go
@@ -31,6 +31,7 @@
 	if err != nil {
 		return errors.Errorf("make operators' front: %w", err)
 	}
+	broperator.ServeHistory(operators, n.history(administration))
 	return errors.Join(
 		n.addFront(frontCallers, n.settings.Callers(), callers),
 		broperator.ServePoison(operators, n.requests.poisoning),
--- /dev/null
+++ b/internal/service/brnode/history.go
@@ -0,0 +1,16 @@
+package brnode
+
+import (
+	"net/http"
+
+	"bergamotroad.example/bergamotroad/internal/peer/brentry"
+	"bergamotroad.example/bergamotroad/internal/service/brhistory"
+)
+
+// history returns the time lines of all VMs that a directory names.
+func (n *Node) history(directory brhistory.Directory) *brhistory.History {
+	client := &http.Client{Transport: n.connector.Transport()}
+	return brhistory.New(n.settings.VM(), n.timeline, directory, func(address string) brhistory.Peer {
+		return brentry.NewPeer(client, "http://"+address)
+	})
+}
