Add metrics of requests, look-ups, duties and fronts

Cause: an operator could count neither refused requests nor full rings. Change: counters and a histogram around the dispatcher, look-ups by result, a collector that reads each duty's ring and each front's connections, stalls and panics. Progress of a duty tells capacity and dropped messages. Conclusion: labels are fates, reasons, duties and fronts, so that their number is bounded.

--- a/internal/core/brduty/duty.go
+++ b/internal/core/brduty/duty.go
@@ -111,7 +111,13 @@
 // Progress returns how often the duty has come back to its rings, and how many
 // messages wait for it. The watchdog compares two readings.
 func (d *Duty[M, S]) Progress() Progress {
-	return Progress{rounds: d.handled.Load(), waiting: d.queue.Len() + d.snapshots.Len(), ended: d.ended.Load()}
+	return Progress{
+		rounds:   d.handled.Load(),
+		waiting:  d.queue.Len() + d.snapshots.Len(),
+		capacity: d.queue.Cap(),
+		dropped:  d.queue.Dropped(),
+		ended:    d.ended.Load(),
+	}
 }
 
 // Run handles messages until the context ends. It is called by a Group.
--- a/internal/core/brduty/group.go
+++ b/internal/core/brduty/group.go
@@ -26,14 +26,22 @@
 
 // Progress is a reading of a duty's advance.
 type Progress struct {
-	rounds  uint64
-	waiting int
-	ended   bool
+	rounds   uint64
+	waiting  int
+	capacity int
+	dropped  uint64
+	ended    bool
 }
 
 // Waiting returns the number of messages that wait for the duty.
 func (p Progress) Waiting() int { return p.waiting }
 
+// Capacity returns how many messages the duty's queue holds.
+func (p Progress) Capacity() int { return p.capacity }
+
+// Dropped returns how many messages found the queue full so far.
+func (p Progress) Dropped() uint64 { return p.dropped }
+
 // Ended reports whether the duty's goroutine has returned.
 func (p Progress) Ended() bool { return p.ended }
 
--- a/internal/duty/brsteering/duty.go
+++ b/internal/duty/brsteering/duty.go
@@ -34,6 +34,7 @@
 type Steering struct {
 	duty    *brduty.Duty[message, *brconfig.Snapshot]
 	answers *brring.ReplyPool[brlocation.Answer]
+	metrics *metrics
 }
 
 // New returns the duty; its answers are empty before the first snapshot.
@@ -42,6 +43,7 @@
 	return &Steering{
 		duty:    brduty.New("steering", h, clock, brduty.WithCapacity(queueCapacity)),
 		answers: brring.NewReplyPool[brlocation.Answer](),
+		metrics: newMetrics(),
 	}
 }
 
@@ -56,6 +58,7 @@
 	answer, err := brring.Ask(ctx, s.duty.Queue(), s.answers, func(reply brring.Reply[brlocation.Answer]) message {
 		return message{client: client, reply: reply}
 	})
+	s.metrics.count(answer, err)
 	if err != nil {
 		return brlocation.Answer{}, errors.Errorf("locate client: %w", err)
 	}
--- /dev/null
+++ b/internal/duty/brsteering/metrics.go
@@ -0,0 +1,50 @@
+package brsteering
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"bergamotroad.example/bergamotroad/internal/model/brlocation"
+)
+
+// The results of look-ups.
+const (
+	resultAnswered = "answered"
+	resultEmpty    = "empty"   // no VM is known
+	resultRefused  = "refused" // the duty's ring is full, or it has ended
+)
+
+type metrics struct {
+	answered prometheus.Counter
+	empty    prometheus.Counter
+	refused  prometheus.Counter
+	lookups  *prometheus.CounterVec
+}
+
+func newMetrics() *metrics {
+	lookups := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "bergamotroad_lookups_total",
+		Help: "Look-ups of callers by result.",
+	}, []string{"result"})
+	return &metrics{
+		lookups:  lookups,
+		answered: lookups.WithLabelValues(resultAnswered),
+		empty:    lookups.WithLabelValues(resultEmpty),
+		refused:  lookups.WithLabelValues(resultRefused),
+	}
+}
+
+func (m *metrics) count(answer brlocation.Answer, err error) {
+	switch {
+	case err != nil:
+		m.refused.Inc()
+	case len(answer.VMs()) == 0:
+		m.empty.Inc()
+	default:
+		m.answered.Inc()
+	}
+}
+
+// Collectors returns the metrics of the duty.
+func (s *Steering) Collectors() []prometheus.Collector {
+	return []prometheus.Collector{s.metrics.lookups}
+}
--- /dev/null
+++ b/internal/service/brdispatch/metrics.go
@@ -0,0 +1,64 @@
+package brdispatch
+
+import (
+	"context"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/model/brmessage"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+)
+
+// reasonNone is the label of requests that were neither refused nor failed.
+const reasonNone = "none"
+
+// durationBuckets are upper bounds in seconds.
+var durationBuckets = []float64{0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 30, 60}
+
+// Measured counts callers' requests on their way to a dispatcher.
+type Measured struct {
+	clock    brclock.Clock
+	next     *Dispatcher
+	requests *prometheus.CounterVec
+	duration *prometheus.HistogramVec
+}
+
+// NewMeasured returns the dispatcher with metrics.
+func NewMeasured(clock brclock.Clock, next *Dispatcher) *Measured {
+	return &Measured{
+		clock: clock,
+		next:  next,
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bergamotroad_requests_total",
+			Help: "Requests of callers by fate and reason.",
+		}, []string{"fate", "reason"}),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "bergamotroad_request_duration_seconds",
+			Help:    "Time from a request's head to the end of its answer, by fate.",
+			Buckets: durationBuckets,
+		}, []string{"fate"}),
+	}
+}
+
+// Dispatch carries a request and writes its answer.
+func (m *Measured) Dispatch(ctx context.Context, request brrequest.Request, call brmessage.Call, writer Writer) Result {
+	start := m.clock.Now()
+	result := m.next.Dispatch(ctx, request, call, writer)
+	fate := string(result.Fate())
+	m.requests.WithLabelValues(fate, reasonLabel(result.Reason())).Inc()
+	m.duration.WithLabelValues(fate).Observe(m.clock.Now().Sub(start).Seconds())
+	return result
+}
+
+func reasonLabel(reason brrequest.Reason) string {
+	if reason == brrequest.ReasonNone {
+		return reasonNone
+	}
+	return string(reason)
+}
+
+// Collectors returns the metrics of callers' requests.
+func (m *Measured) Collectors() []prometheus.Collector {
+	return []prometheus.Collector{m.requests, m.duration}
+}
--- a/internal/service/brnode/fronts.go
+++ b/internal/service/brnode/fronts.go
@@ -10,6 +10,7 @@
 	"bergamotroad.example/bergamotroad/internal/peer/broperator"
 	"bergamotroad.example/bergamotroad/internal/peer/brtable"
 	"bergamotroad.example/bergamotroad/internal/service/bradministration"
+	"bergamotroad.example/bergamotroad/internal/service/brdispatch"
 	"bergamotroad.example/bergamotroad/internal/service/brfront"
 	"bergamotroad.example/bergamotroad/internal/service/brsettings"
 )
@@ -22,12 +23,13 @@
 	n.addSpread(client, table, objects)
 
 	dispatcher := n.requests.dispatcher(n)
-	callers, err := brcaller.NewHandler(n.clock, dispatcher, n.steering)
+	measured := brdispatch.NewMeasured(n.clock, dispatcher)
+	callers, err := brcaller.NewHandler(n.clock, measured, n.steering)
 	if err != nil {
 		return errors.Errorf("make callers' front: %w", err)
 	}
 	administration := bradministration.New(n.clock, accessPolicy(n.settings.Operators().Administration()), n.writing, n.spreading, table, objects, n.spread.witnesses, n.timeline)
-	operators, err := broperator.NewHandler(n.settings.VM(), administration, n.timeline, n.metrics())
+	operators, err := broperator.NewHandler(n.settings.VM(), administration, n.timeline, n.metrics(measured.Collectors()...))
 	if err != nil {
 		return errors.Errorf("make operators' front: %w", err)
 	}
--- /dev/null
+++ b/internal/service/brnode/metrics.go
@@ -0,0 +1,64 @@
+package brnode
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+)
+
+var (
+	ringLength = prometheus.NewDesc("bergamotroad_duty_ring_messages",
+		"Messages that wait for a duty.", []string{"duty"}, nil)
+	ringCapacity = prometheus.NewDesc("bergamotroad_duty_ring_capacity_messages",
+		"Messages that a duty's ring holds at most.", []string{"duty"}, nil)
+	ringDropped = prometheus.NewDesc("bergamotroad_duty_ring_dropped_messages_total",
+		"Messages that found a duty's ring full.", []string{"duty"}, nil)
+	frontConnections = prometheus.NewDesc("bergamotroad_front_connections",
+		"Connections that a front holds.", []string{"front"}, nil)
+	frontRefused = prometheus.NewDesc("bergamotroad_front_refused_connections_total",
+		"Connections that a front closed because of its limits.", []string{"front"}, nil)
+	frontRunning = prometheus.NewDesc("bergamotroad_front_running_requests",
+		"Requests that run in a front.", []string{"front"}, nil)
+)
+
+// collector reads duties and fronts when metrics are asked for.
+type collector struct {
+	node *Node
+}
+
+// Describe sends the descriptions of the metrics.
+func (*collector) Describe(descriptions chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{ringLength, ringCapacity, ringDropped, frontConnections, frontRefused, frontRunning} {
+		descriptions <- d
+	}
+}
+
+// Collect sends the metrics.
+func (c *collector) Collect(metrics chan<- prometheus.Metric) {
+	gauge := func(d *prometheus.Desc, value int, label string) {
+		metrics <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, float64(value), label)
+	}
+	for _, d := range c.node.running {
+		progress := d.Progress()
+		gauge(ringLength, progress.Waiting(), d.Name())
+		gauge(ringCapacity, progress.Capacity(), d.Name())
+		metrics <- prometheus.MustNewConstMetric(ringDropped, prometheus.CounterValue, float64(progress.Dropped()), d.Name())
+	}
+	for _, f := range c.node.fronts {
+		held, refused := f.Connections()
+		gauge(frontConnections, held, f.Name())
+		gauge(frontRunning, f.Running(), f.Name())
+		metrics <- prometheus.MustNewConstMetric(frontRefused, prometheus.CounterValue, float64(refused), f.Name())
+	}
+}
+
+func (n *Node) metrics(others ...prometheus.Collector) *prometheus.Registry {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector())
+	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	registry.MustRegister(n.spreading.Collectors()...)
+	registry.MustRegister(n.steering.Collectors()...)
+	registry.MustRegister(n.observer.collectors()...)
+	registry.MustRegister(&collector{node: n})
+	registry.MustRegister(others...)
+	return registry
+}
--- a/internal/service/brnode/node.go
+++ b/internal/service/brnode/node.go
@@ -11,8 +11,6 @@
 	"sync/atomic"
 
 	"github.com/charmbracelet/log"
-	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"bergamotroad.example/bergamotroad/internal/core/brclock"
 	"bergamotroad.example/bergamotroad/internal/core/brduty"
@@ -53,6 +51,8 @@
 	fronts    []*brfront.Front
 	leavers   []brstop.Step
 	leaving   atomic.Bool
+	observer  *observer
+	running   []brduty.Runner // set before the fronts serve
 }
 
 // New returns a VM that listens but does not answer yet.
@@ -62,6 +62,7 @@
 		return nil, err
 	}
 	n.timeline = brtimeline.New(settings.VM(), settings.Domain(), clock)
+	n.observer = newObserver(logger, n.timeline)
 	n.admission = bradmission.New(clock)
 	n.balancing = brbalancing.New(settings.VM(), settings.Domain(), clock)
 	n.steering = brsteering.New(clock)
@@ -88,8 +89,9 @@
 // Run serves until the context ends or a duty panics, then drains.
 func (n *Node) Run(ctx context.Context) error {
 	// The duties outlive the context, so that requests in flight finish.
-	group := brduty.NewGroup(context.WithoutCancel(ctx), n.clock, &observer{logger: n.logger, events: n.timeline})
-	group.Start(n.duties()...)
+	group := brduty.NewGroup(context.WithoutCancel(ctx), n.clock, n.observer)
+	n.running = n.duties()
+	group.Start(n.running...)
 	defer group.Stop()
 	failures := n.serve()
 	n.timeline.Record(brevent.New(brevent.KindVMStarted))
@@ -103,11 +105,3 @@
 		return n.stop(ctx, err)
 	}
 }
-
-func (n *Node) metrics() *prometheus.Registry {
-	registry := prometheus.NewRegistry()
-	registry.MustRegister(collectors.NewGoCollector())
-	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	registry.MustRegister(n.spreading.Collectors()...)
-	return registry
-}
--- a/internal/service/brnode/observer.go
+++ b/internal/service/brnode/observer.go
@@ -5,6 +5,7 @@
 	"strconv"
 
 	"github.com/charmbracelet/log"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"bergamotroad.example/bergamotroad/internal/model/brevent"
 )
@@ -13,10 +14,32 @@
 type observer struct {
 	logger *log.Logger
 	events brevent.Recorder
+	stalls prometheus.Counter
+	panics prometheus.Counter
+}
+
+func newObserver(logger *log.Logger, events brevent.Recorder) *observer {
+	return &observer{
+		logger: logger,
+		events: events,
+		stalls: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "bergamotroad_duty_stalls_total",
+			Help: "Times that a duty was seen to take no messages although some waited.",
+		}),
+		panics: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "bergamotroad_duty_panics_total",
+			Help: "Panics of duties.",
+		}),
+	}
+}
+
+func (o *observer) collectors() []prometheus.Collector {
+	return []prometheus.Collector{o.stalls, o.panics}
 }
 
 // DutyStalled reports a duty that takes no messages.
 func (o *observer) DutyStalled(name string, waiting int) {
+	o.stalls.Inc()
 	o.logger.Error("duty takes no messages", "duty", name, "waiting", waiting)
 	o.events.Record(brevent.New(brevent.KindDutyStalled).
 		WithResource(name).
@@ -25,6 +48,7 @@
 
 // DutyPanicked reports a duty that panicked.
 func (o *observer) DutyPanicked(name string, value any, stack []byte) {
+	o.panics.Inc()
 	o.logger.Error("duty panicked", "duty", name, "panic", value, "stack", string(stack))
 	o.events.Record(brevent.New(brevent.KindDutyPanicked).
 		WithResource(name).
