Move a service from one version to another step by step

The configuration held moves, and nothing acted on them: requests went to servers of both versions alike.

Each VM has a gate for the move of a service. It lets an exact fraction of each route's requests go to the new version, compares the versions on each route and closes at once where the new one is worse. A step that is proved, a fault or the move's time lead to the next record of the move, which is a change of the configuration that takes effect only while the move is as it was.

A move whose steps can't fit before its time, or whose service lacks a version, is refused. Applying a file again keeps a move's state. A service has one move at most that has not ended.

The property over histories of crashes, cuts, late words and lost writes passes with 100 checks; it first showed that one count over all routes gives routes that alternate no request of the new version, so that routes are counted apart.

--- a/internal/decide/brbalance/balancer.go
+++ b/internal/decide/brbalance/balancer.go
@@ -25,6 +25,7 @@
 	"time"
 
 	"bergamotroad.example/bergamotroad/internal/core/broption"
+	"bergamotroad.example/bergamotroad/internal/decide/brmove"
 	"bergamotroad.example/bergamotroad/internal/model/brconfig"
 	"bergamotroad.example/bergamotroad/internal/model/brrequest"
 )
@@ -38,6 +39,7 @@
 	random   *rand.Rand
 	services map[string]*service
 	servers  map[string]*candidate
+	moves    *brmove.Book
 	free     []*candidate // scratch of Pick
 }
 
@@ -55,11 +57,13 @@
 		random:   rand.New(rand.NewPCG(seed, seed)),
 		services: map[string]*service{},
 		servers:  map[string]*candidate{},
+		moves:    brmove.NewBook(),
 	}
 }
 
 // Update takes the servers of a snapshot. What is known of them is kept.
-func (b *Balancer[P]) Update(_ time.Time, snapshot *brconfig.Snapshot) {
+func (b *Balancer[P]) Update(now time.Time, snapshot *brconfig.Snapshot) {
+	b.moves.Update(now, snapshot)
 	for _, c := range b.servers {
 		c.listed = false
 	}
@@ -83,12 +87,7 @@
 	if !ok {
 		return broption.None[brconfig.Server]()
 	}
-	b.free = b.free[:0]
-	for _, c := range s.candidates {
-		if c.available(now) && !placement.Avoids(c.server.Name()) {
-			b.free = append(b.free, c)
-		}
-	}
+	b.findFree(now, s, placement)
 	if len(b.free) == 0 {
 		return broption.None[brconfig.Server]()
 	}
@@ -98,6 +97,36 @@
 	return broption.Some(best.server)
 }
 
+// findFree collects the candidates with a free slot: those of the best version
+// that has any, where a move says which versions may run the request.
+func (b *Balancer[P]) findFree(now time.Time, s *service, placement brrequest.Placement) {
+	versions := b.moves.Choose(now, placement.Service(), placement.Route())
+	b.free = b.free[:0]
+	if versions == nil {
+		b.addFree(now, s, placement, func(string) bool { return true })
+		return
+	}
+	for _, version := range versions {
+		b.addFree(now, s, placement, func(other string) bool { return other == version })
+		if len(b.free) > 0 {
+			return
+		}
+	}
+}
+
+func (b *Balancer[P]) addFree(now time.Time, s *service, placement brrequest.Placement, suits func(version string) bool) {
+	for _, c := range s.candidates {
+		if suits(c.server.Version()) && c.available(now) && !placement.Avoids(c.server.Name()) {
+			b.free = append(b.free, c)
+		}
+	}
+}
+
+// Proposals returns the next records of moves that are due.
+func (b *Balancer[P]) Proposals(now time.Time) []brmove.Proposal {
+	return b.moves.Proposals(now)
+}
+
 // Release gives back the slot of a request that has ended, and learns from its outcome.
 func (b *Balancer[P]) Release(now time.Time, outcome brrequest.Outcome) {
 	c, ok := b.servers[outcome.Server()]
@@ -109,6 +138,7 @@
 		delete(b.servers, outcome.Server())
 		return
 	}
+	b.moves.Observe(now, c.server, outcome)
 	c.learn(now, outcome)
 	if c.failing() && b.mayEject(now, c) {
 		c.eject(now)
--- /dev/null
+++ b/internal/decide/brmove/comparison.go
@@ -0,0 +1,151 @@
+package brmove
+
+import (
+	"math"
+	"math/bits"
+	"time"
+
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+)
+
+const (
+	fewestFaults   = 3   // of the new version on a route before they count
+	fewestBaseline = 30  // answers of the old version before latencies compare
+	fewestProved   = 30  // outcomes of the new version on a route that prove a step
+	slowPercent    = 10  // of the old version's answers are slow by definition
+	deviations     = 4.0 // standard deviations above the expected count
+	slack          = 2.0 // outcomes above the expected count
+	latencyBuckets = 64
+	bucketsPerTwo  = 2 // latency buckets to a factor of two
+	halfLife       = time.Minute
+	keptOutcomes   = 1000 // of a version on a route that do not fade
+	unknownRate    = 0.2  // of faults, where the old version is not known
+)
+
+// sample counts the outcomes of one version on one route.
+type sample struct {
+	outcomes int
+	faults   int
+	buckets  [latencyBuckets]int
+}
+
+func (s *sample) observe(outcome brrequest.Outcome) {
+	s.outcomes++
+	if isFault(outcome.Kind()) {
+		s.faults++
+		return
+	}
+	s.buckets[bucketOf(outcome.Latency())]++
+}
+
+// halve lets old outcomes count less. A version that gets no requests any more
+// stays known.
+func (s *sample) halve() {
+	if s.outcomes < keptOutcomes {
+		return
+	}
+	s.outcomes /= 2
+	s.faults /= 2
+	for i := range s.buckets {
+		s.buckets[i] /= 2
+	}
+}
+
+// answered returns the number of answers without fault.
+func (s *sample) answered() int {
+	count := 0
+	for _, n := range s.buckets {
+		count += n
+	}
+	return count
+}
+
+// slowFrom returns the bucket from which latencies are slow.
+func (s *sample) slowFrom() int {
+	allowed := s.answered() * slowPercent / 100
+	above := 0
+	for i := latencyBuckets - 1; i >= 0; i-- {
+		above += s.buckets[i]
+		if above > allowed {
+			return i + 1
+		}
+	}
+	return 0
+}
+
+// slower returns the number of answers from a bucket on.
+func (s *sample) slower(bucket int) int {
+	count := 0
+	for i := bucket; i < latencyBuckets; i++ {
+		count += s.buckets[i]
+	}
+	return count
+}
+
+// bucketOf returns the bucket of a latency: two to each doubling.
+func bucketOf(latency time.Duration) int {
+	micros := uint64(max(latency.Microseconds(), 1))
+	exponent := bits.Len64(micros) - 1
+	half := 0
+	if exponent > 0 && micros&(1<<(exponent-1)) != 0 {
+		half = 1
+	}
+	return min(bucketsPerTwo*exponent+half, latencyBuckets-1)
+}
+
+func isFault(kind brrequest.OutcomeKind) bool {
+	switch kind {
+	case brrequest.OutcomeFault, brrequest.OutcomeBroken, brrequest.OutcomeNotSent:
+		return true
+	default:
+		return false
+	}
+}
+
+// comparison holds what this VM has seen of two versions on one route.
+type comparison struct {
+	before sample
+	after  sample
+	proof  int // outcomes of the new version in this step
+}
+
+// needed returns the outcomes of the new version that prove a step on the
+// route. One with little traffic is looked at in the last step only.
+func (c *comparison) needed(isLast bool) int {
+	switch {
+	case c.before.outcomes+c.after.outcomes >= fewestProved:
+		return fewestProved
+	case isLast:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// fault returns what is worse with the new version, or "".
+func (c *comparison) fault() string {
+	if c.after.faults >= fewestFaults && exceeds(c.after.faults, c.after.outcomes, c.before.faults, c.before.outcomes) {
+		return "faults"
+	}
+	if c.before.answered() < fewestBaseline {
+		return ""
+	}
+	bucket := c.before.slowFrom()
+	slow := c.after.slower(bucket)
+	allowed := c.before.answered() * slowPercent / 100
+	if exceeds(slow, c.after.answered(), max(allowed, c.before.slower(bucket)), c.before.answered()) {
+		return "latency"
+	}
+	return ""
+}
+
+// exceeds reports whether count of total is significantly more than the
+// baseline lets one expect.
+func exceeds(count, total, baseCount, baseTotal int) bool {
+	rate := unknownRate
+	if baseTotal >= fewestBaseline {
+		rate = float64(baseCount+1) / float64(baseTotal+1)
+	}
+	expected := rate * float64(total)
+	return float64(count) > expected+deviations*math.Sqrt(expected)+slack
+}
--- /dev/null
+++ b/internal/decide/brmove/error.go
@@ -0,0 +1,66 @@
+package brmove
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+)
+
+// ErrInfeasible says that a move can't be done as it is written.
+type ErrInfeasible struct {
+	move   string
+	reason string
+}
+
+// Error names the move and the reason.
+func (e ErrInfeasible) Error() string { return fmt.Sprintf("move %q: %s", e.move, e.reason) }
+
+// IsErrInfeasible reports whether err is or wraps ErrInfeasible.
+func IsErrInfeasible(err error) bool {
+	_, ok := errors.Into[ErrInfeasible](err)
+	return ok
+}
+
+// CheckChanged returns ErrInfeasible where a planned move among the changes
+// can't end before its time, or where its service lacks one of the versions.
+func CheckChanged(now time.Time, next *brconfig.Snapshot, changes []brconfig.Change) error {
+	for _, change := range changes {
+		resource, _ := change.Resource().Get()
+		move, ok := resource.(brconfig.Move)
+		if !ok || move.State() != brconfig.MovePlanned {
+			continue
+		}
+		if err := check(now, next, move); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func check(now time.Time, next *brconfig.Snapshot, move brconfig.Move) error {
+	start := move.Start()
+	if start.Before(now) {
+		start = now
+	}
+	if needed := Needed(move.Cap()); move.By().Sub(start) < needed {
+		return ErrInfeasible{move: move.Name(), reason: fmt.Sprintf("its steps take at least %s", needed)}
+	}
+	for _, version := range []string{move.From(), move.To()} {
+		if !serves(next, move.Service(), version) {
+			return ErrInfeasible{move: move.Name(), reason: fmt.Sprintf("service %q has no server of version %q", move.Service(), version)}
+		}
+	}
+	return nil
+}
+
+func serves(snapshot *brconfig.Snapshot, service, version string) bool {
+	for s := range snapshot.Servers().All() {
+		if s.Service() == service && s.Version() == version {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/decide/brmove/gate.go
@@ -0,0 +1,193 @@
+// Package brmove decides how a service goes from one version to another.
+//
+// Each VM has a gate for each move. The gate counts the requests that the VM
+// places and lets no more than the fraction of the step go to the new version,
+// rounded down, so that the sum over all VMs keeps to it as well. It compares
+// the versions on each route by what the VM sees, and closes at once where the
+// new one is worse. It proposes the next step once this one is proved.
+//
+// The state of a move is kept in the configuration. From its time on a move
+// that is not recorded as done counts as undone, on each VM by itself.
+//
+// # Usage
+//
+//	gate := brmove.NewGate(now, move)
+//	choice := gate.Choose(now, "lookup")
+//	gate.Observe(now, "v2", "lookup", outcome)
+//	proposal, ok := gate.Propose(now).Get()
+package brmove
+
+import (
+	"time"
+
+	"bergamotroad.example/bergamotroad/internal/core/broption"
+	"bergamotroad.example/bergamotroad/internal/decide/brselect"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+)
+
+// Gate says which version runs each request of a service. It has one owner.
+type Gate struct {
+	move   brconfig.Move
+	limits map[string]*brselect.Cap // of the step, by route
+	since  time.Time                // start of the step on this VM
+	halved time.Time
+	routes map[string]*comparison
+	faulty string // why the brake is on, or ""
+}
+
+// NewGate returns the gate of a move.
+func NewGate(now time.Time, move brconfig.Move) *Gate {
+	return &Gate{move: move, since: now, halved: now, limits: map[string]*brselect.Cap{}, routes: map[string]*comparison{}}
+}
+
+// limitOf returns the cap of the move's step, or nil where nothing is moved.
+func limitOf(move brconfig.Move) *brselect.Cap {
+	if move.State() != brconfig.MoveRunning {
+		return nil
+	}
+	steps := Steps(move.Cap())
+	limit, err := brselect.NewCap(steps[min(move.Step(), len(steps)-1)])
+	if err != nil {
+		return nil
+	}
+	return limit
+}
+
+// Update takes a newer record of the move. What was seen of the versions is
+// kept; proof of the step before is not.
+func (g *Gate) Update(now time.Time, move brconfig.Move) {
+	restarts := !isOpen(g.move) && isOpen(move)
+	if restarts || move.From() != g.move.From() || move.To() != g.move.To() {
+		*g = *NewGate(now, move)
+		return
+	}
+	isSame := move.State() == g.move.State() && move.Step() == g.move.Step() && move.Cap().Compare(g.move.Cap()) == 0
+	g.move = move
+	if isSame {
+		return
+	}
+	clear(g.limits)
+	g.since = now
+	for _, c := range g.routes {
+		c.proof = 0
+	}
+}
+
+// Move returns the record of the move.
+func (g *Gate) Move() brconfig.Move { return g.move }
+
+// Braked returns why the VM sends nothing to the new version, or "".
+func (g *Gate) Braked() string { return g.faulty }
+
+// admit counts one request of a route and reports whether the step lets it go
+// to the new version. Routes are counted apart, so that each gets its fraction
+// however their requests alternate; the fractions rounded down sum to no more
+// than that of all.
+func (g *Gate) admit(route string) bool {
+	limit, ok := g.limits[route]
+	if !ok {
+		limit = limitOf(g.move)
+		g.limits[route] = limit
+	}
+	return limit != nil && limit.Admit()
+}
+
+// Choose counts one request of a route and returns the versions that may run
+// it, the best first.
+func (g *Gate) Choose(now time.Time, route string) []string {
+	if g.move.State() == brconfig.MoveDone {
+		return []string{g.move.To()}
+	}
+	passes := g.admit(route)
+	if passes && g.faulty == "" && now.Before(g.move.By()) {
+		return []string{g.move.To(), g.move.From()}
+	}
+	return []string{g.move.From()}
+}
+
+// Observe takes the outcome of a request that a version ran. Requests that
+// were shed or cancelled say nothing of the version.
+func (g *Gate) Observe(now time.Time, version string, outcome brrequest.Outcome) {
+	says := isFault(outcome.Kind()) || outcome.Kind() == brrequest.OutcomeAnswered
+	if !says || !isOpen(g.move) {
+		return
+	}
+	g.age(now)
+	c, ok := g.routes[outcome.Route()]
+	if !ok {
+		c = &comparison{}
+		g.routes[outcome.Route()] = c
+	}
+	switch version {
+	case g.move.From():
+		c.before.observe(outcome)
+	case g.move.To():
+		c.after.observe(outcome)
+		c.proof++
+		g.brake(outcome.Route(), c)
+	}
+}
+
+func (g *Gate) age(now time.Time) {
+	if now.Sub(g.halved) < halfLife {
+		return
+	}
+	g.halved = now
+	for _, c := range g.routes {
+		c.before.halve()
+		c.after.halve()
+	}
+}
+
+// brake stops requests to the new version where it is worse on a route.
+func (g *Gate) brake(route string, c *comparison) {
+	if fault := c.fault(); fault != "" && g.faulty == "" {
+		g.faulty = fault + " on route " + route
+	}
+}
+
+// Propose returns the next record of the move, if one is due.
+func (g *Gate) Propose(now time.Time) broption.Option[Proposal] {
+	switch {
+	case !isOpen(g.move) || now.Before(g.move.Start()):
+		return broption.None[Proposal]()
+	case !now.Before(g.move.By()):
+		return broption.Some(propose(g.move, brconfig.MoveUndone, g.move.Step(), "not finished by its time"))
+	case g.faulty != "":
+		return broption.Some(propose(g.move, brconfig.MoveUndone, g.move.Step(), g.faulty))
+	case g.move.State() == brconfig.MovePlanned:
+		return broption.Some(propose(g.move, brconfig.MoveRunning, 0, ""))
+	case !g.isProved(now):
+		return broption.None[Proposal]()
+	default:
+		return g.advance(now)
+	}
+}
+
+func (g *Gate) advance(now time.Time) broption.Option[Proposal] {
+	if g.move.Step()+1 < len(Steps(g.move.Cap())) {
+		return broption.Some(propose(g.move, brconfig.MoveRunning, g.move.Step()+1, ""))
+	}
+	if g.move.By().Sub(now) < finishMargin {
+		return broption.None[Proposal]()
+	}
+	return broption.Some(propose(g.move, brconfig.MoveDone, g.move.Step(), "all steps proved"))
+}
+
+// isProved reports whether the new version ran enough requests on each route
+// that has traffic. Where measurements stop, the step lasts on.
+func (g *Gate) isProved(now time.Time) bool {
+	if now.Sub(g.since) < stepTime || len(g.routes) == 0 {
+		return false
+	}
+	isLast := g.move.Step()+1 >= len(Steps(g.move.Cap()))
+	proved := false
+	for _, c := range g.routes {
+		if c.proof < c.needed(isLast) {
+			return false
+		}
+		proved = proved || c.proof >= fewestProved
+	}
+	return proved
+}
--- /dev/null
+++ b/internal/decide/brmove/gate_test.go
@@ -0,0 +1,114 @@
+package brmove_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"bergamotroad.example/bergamotroad/internal/decide/brmove"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brunit"
+	_ "bergamotroad.example/bergamotroad/internal/standin/brseed"
+)
+
+// faultTime is how long VMs crash and are cut off.
+const faultTime = 4 * time.Minute
+
+// drawFaults may crash, cut off or heal a VM.
+func (w *world) drawFaults(t *rapid.T, v *vm) {
+	if w.now.Sub(w.start) > faultTime {
+		return
+	}
+	switch rapid.IntRange(0, 200).Draw(t, "fault") {
+	case 133:
+		v.cutUntil = w.now.Add(time.Duration(rapid.IntRange(1, 90).Draw(t, "cut")) * time.Second)
+	case 77:
+		// A VM that starts serves once it has the newest record.
+		v.gate = brmove.NewGate(w.now, w.record)
+		v.known, v.writes, v.cutUntil = w.generation, nil, time.Time{}
+	}
+}
+
+// checkPlaced fails where a VM's request broke the cap of its step or of the move.
+func (w *world) checkPlaced(t *rapid.T, v *vm, wasBraked bool, version string) {
+	known := v.gate.Move()
+	if known.State() == brconfig.MoveDone {
+		return
+	}
+	v.placed++
+	share, _ := w.record.Cap().Rat().Float64()
+	v.leastOver = min(v.leastOver, v.over)
+	v.over -= share
+	if version != newVersion {
+		return
+	}
+	v.moved++
+	v.over++
+	require.Equal(t, brconfig.MoveRunning, known.State(), "moved in state %s", known.State())
+	require.True(t, w.now.Before(known.By()), "moved after its time")
+	require.False(t, wasBraked, "moved after the brake")
+	require.LessOrEqual(t, v.over-v.leastOver, float64(len(w.routes))+1e-6, "a window of one VM exceeds the cap")
+	require.LessOrEqual(t, float64(v.moved), share*float64(v.placed)+1e-6, "a VM exceeds the cap")
+}
+
+func drawWorld(t *rapid.T) *world {
+	limits := []brunit.Amount{brunit.New(1, 10), brunit.New(1, 3), brunit.New(7, 20), brunit.New(1, 1)}
+	limit := rapid.SampledFrom(limits).Draw(t, "cap")
+	lasts := brmove.Needed(limit) + 2*faultTime
+	w := newWorld(limit, lasts, rapid.IntRange(1, 4).Draw(t, "VMs"), rapid.IntRange(40, 60).Draw(t, "rate"), rapid.Uint64().Draw(t, "seed"))
+	w.bad = rapid.SampledFrom([]badness{good, badAtOnce, badLater, badLoad, badOneRoute, badSlow}).Draw(t, "badness")
+	if w.bad == badLater {
+		w.badFrom = w.start.Add(time.Duration(rapid.IntRange(1, 100).Draw(t, "bad from")) * time.Second)
+	}
+	stop := w.start.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "measurements stop")) * time.Second)
+	w.noMeasures = [2]time.Time{stop, stop.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "for")) * time.Second)}
+	return w
+}
+
+func (w *world) step(t *rapid.T) {
+	for _, v := range w.vms {
+		w.drawFaults(t, v)
+		w.tell(v, rapid.Bool().Draw(t, "told late"))
+		for range w.rate {
+			for _, route := range w.routes {
+				wasBraked := v.gate.Braked() != ""
+				w.checkPlaced(t, v, wasBraked, w.place(v, route))
+			}
+		}
+		w.propose(t, v)
+	}
+	w.now = w.now.Add(worldStep)
+}
+
+// Over histories of VMs that crash, are cut off and hear late, no VM exceeds
+// the cap, a move ends once and by its time, a bad version is taken back and a
+// good one carries the traffic.
+func TestMoveKeepsItsCapAndEndsOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := drawWorld(t)
+		end := w.record.By().Add(2 * time.Minute)
+		for w.now.Before(end) {
+			w.step(t)
+			if !w.endedAt.IsZero() && w.now.Sub(w.endedAt) > 100*time.Second {
+				break
+			}
+		}
+		require.Len(t, w.finals, 1, "the move ended %v", w.finals)
+		if w.bad == good {
+			require.Equal(t, brconfig.MoveDone, w.finals[0], "good version: %s", w.record.Reason())
+			require.True(t, w.endedAt.Before(w.record.By()))
+		} else if w.bad != badLater || w.badFrom.Before(w.endedAt.Add(-time.Minute)) {
+			require.Equal(t, brconfig.MoveUndone, w.finals[0], "version that is bad %s", w.bad)
+		}
+		for _, v := range w.vms {
+			require.Equal(t, w.record.State(), v.gate.Move().State())
+			expected := oldVersion
+			if w.finals[0] == brconfig.MoveDone {
+				expected = newVersion
+			}
+			require.Equal(t, []string{expected}, v.gate.Choose(w.now, w.routes[0]))
+		}
+	})
+}
--- /dev/null
+++ b/internal/decide/brmove/proposal.go
@@ -0,0 +1,85 @@
+package brmove
+
+import (
+	"time"
+
+	"bergamotroad.example/bergamotroad/internal/core/broption"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+)
+
+// Proposal is the next record of a move, for the record that it was made from.
+type Proposal struct {
+	base  brconfig.Move
+	state brconfig.MoveState
+	step  int
+	why   string
+}
+
+func propose(base brconfig.Move, state brconfig.MoveState, step int, why string) Proposal {
+	return Proposal{base: base, state: state, step: step, why: why}
+}
+
+// Base returns the record that the proposal was made from.
+func (p Proposal) Base() brconfig.Move { return p.base }
+
+// Name returns the name of the move.
+func (p Proposal) Name() string { return p.base.Name() }
+
+// State returns the proposed state.
+func (p Proposal) State() brconfig.MoveState { return p.state }
+
+// Step returns the proposed step.
+func (p Proposal) Step() int { return p.step }
+
+// Reason returns why the state is proposed, or "".
+func (p Proposal) Reason() string { return p.why }
+
+// Final reports whether the proposal ends the move.
+func (p Proposal) Final() bool {
+	return p.state == brconfig.MoveDone || p.state == brconfig.MoveUndone
+}
+
+// Apply returns the next record for what the configuration holds of the move,
+// or none where that does not allow it any more: a move that has ended stays
+// so, and a step follows only the one that it was proved at. Taking back is
+// allowed at every step; finishing is not, close to the move's time.
+func (p Proposal) Apply(now time.Time, held brconfig.Move) broption.Option[brconfig.Move] {
+	if p.state == brconfig.MoveDone && held.By().Sub(now) < finishMargin {
+		return broption.None[brconfig.Move]()
+	}
+	isSame := held.State() == p.base.State() && held.Step() == p.base.Step() && isSamePlan(held, p.base)
+	mayEnd := p.state == brconfig.MoveUndone && isOpen(held) && isSamePlan(held, p.base)
+	if !isOpen(held) || (!isSame && !mayEnd) {
+		return broption.None[brconfig.Move]()
+	}
+	return broption.Some(held.WithState(p.state, p.step, p.why))
+}
+
+// isSamePlan reports whether an operator has left a move as it was.
+func isSamePlan(a, b brconfig.Move) bool {
+	return a.Service() == b.Service() && a.From() == b.From() && a.To() == b.To() &&
+		a.Cap().Compare(b.Cap()) == 0 && a.Start().Equal(b.Start()) && a.By().Equal(b.By())
+}
+
+// KeepStates returns the changes of an operator with the state of each move
+// whose plan is as it was, so that applying a file again restarts no move.
+func KeepStates(held *brconfig.Snapshot, changes []brconfig.Change) []brconfig.Change {
+	kept := make([]brconfig.Change, 0, len(changes))
+	for _, change := range changes {
+		kept = append(kept, keepState(held, change))
+	}
+	return kept
+}
+
+func keepState(held *brconfig.Snapshot, change brconfig.Change) brconfig.Change {
+	resource, _ := change.Resource().Get()
+	move, ok := resource.(brconfig.Move)
+	if !ok || move.State() != brconfig.MovePlanned {
+		return change
+	}
+	old, had := held.Moves().Get(move.Name()).Get()
+	if !had || !isSamePlan(old, move) {
+		return change
+	}
+	return brconfig.Put(move.WithState(old.State(), old.Step(), old.Reason()))
+}
--- a/internal/duty/brbalancing/duty.go
+++ b/internal/duty/brbalancing/duty.go
@@ -23,6 +23,7 @@
 	"bergamotroad.example/bergamotroad/internal/core/broption"
 	"bergamotroad.example/bergamotroad/internal/core/brring"
 	"bergamotroad.example/bergamotroad/internal/decide/brbalance"
+	"bergamotroad.example/bergamotroad/internal/decide/brmove"
 	"bergamotroad.example/bergamotroad/internal/model/brconfig"
 	"bergamotroad.example/bergamotroad/internal/model/brrequest"
 )
@@ -53,6 +54,7 @@
 
 // Balancing is the duty with the calls that reach it.
 type Balancing struct {
+	handler *handler
 	duty    *brduty.Duty[message, *brconfig.Snapshot]
 	servers *brring.ReplyPool[broption.Option[brconfig.Server]]
 }
@@ -61,6 +63,7 @@
 func New(vm, domain string, clock brclock.Clock) *Balancing {
 	h := &handler{clock: clock, balancer: brbalance.NewBalancer[brbalance.LeastLoaded](vm, domain, rand.Uint64())}
 	return &Balancing{
+		handler: h,
 		duty:    brduty.New("balancing", h, clock, brduty.WithCapacity(queueCapacity)),
 		servers: brring.NewReplyPool[broption.Option[brconfig.Server]](),
 	}
@@ -72,6 +75,12 @@
 // Snapshots returns the ring that takes the configuration.
 func (b *Balancing) Snapshots() *brring.Latest[*brconfig.Snapshot] { return b.duty.Snapshots() }
 
+// SubscribeProposals has a ring get the next records of moves, each tick. It
+// is called before the duty starts.
+func (b *Balancing) SubscribeProposals(ring *brring.Latest[[]brmove.Proposal]) {
+	b.handler.proposals = ring
+}
+
 // Pick takes a slot of a server. It returns ErrServerNotExist where none is free.
 func (b *Balancing) Pick(ctx context.Context, placement brrequest.Placement) (brconfig.Server, error) {
 	answer, err := brring.Ask(ctx, b.duty.Queue(), b.servers, func(reply brring.Reply[broption.Option[brconfig.Server]]) message {
@@ -95,6 +104,8 @@
 type handler struct {
 	clock    brclock.Clock
 	balancer *brbalance.Balancer[brbalance.LeastLoaded]
+
+	proposals *brring.Latest[[]brmove.Proposal]
 }
 
 // Handle picks or releases.
@@ -111,5 +122,9 @@
 	h.balancer.Update(h.clock.Now(), snapshot)
 }
 
-// Tick does nothing yet.
-func (*handler) Tick(context.Context, time.Time) {}
+// Tick sends the next records of moves.
+func (h *handler) Tick(_ context.Context, now time.Time) {
+	if h.proposals != nil {
+		_ = h.proposals.Send(h.balancer.Proposals(now))
+	}
+}
--- /dev/null
+++ b/internal/duty/brmoving/duty.go
@@ -0,0 +1,167 @@
+// Package brmoving provides the duty that records how moves of versions go on.
+//
+// It takes the proposals of this VM and writes those that stay due into the
+// configuration. A write takes effect only while the move is as it was when
+// the proposal was made, so that VMs which propose at once make one step.
+//
+// # Usage
+//
+//	moving := brmoving.New("vm-1", clock, administration, timeline, logger)
+//	balancing.SubscribeProposals(moving.Proposals())
+//	group.Start(moving.Duty())
+package brmoving
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/core/brduty"
+	"bergamotroad.example/bergamotroad/internal/core/brring"
+	"bergamotroad.example/bergamotroad/internal/decide/brmove"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brevent"
+)
+
+const (
+	tickPeriod = 500 * time.Millisecond
+	// writeSpread bounds the random time before a VM writes a proposal, so that
+	// most VMs find it written.
+	writeSpread = 2 * time.Second
+)
+
+// Recorder writes a proposal into the configuration.
+type Recorder interface {
+	// RecordMove reports whether this call wrote the proposal. It writes nothing
+	// where the move is no longer as it was.
+	RecordMove(ctx context.Context, vm string, proposal brmove.Proposal) (bool, error)
+}
+
+// Moving is the duty.
+type Moving struct {
+	duty *brduty.Duty[struct{}, []brmove.Proposal]
+}
+
+// New returns the duty of a VM.
+func New(vm string, clock brclock.Clock, recorder Recorder, events brevent.Recorder, logger *log.Logger) *Moving {
+	h := &handler{vm: vm, clock: clock, recorder: recorder, events: events, logger: logger, due: map[key]time.Time{}, written: map[key]bool{}, unsure: map[key]brmove.Proposal{}}
+	return &Moving{duty: brduty.New[struct{}, []brmove.Proposal]("moving", h, clock, brduty.WithPeriod(tickPeriod))}
+}
+
+// Duty returns the duty to be started.
+func (m *Moving) Duty() brduty.Runner { return m.duty }
+
+// Proposals returns the ring that takes the next records of moves.
+func (m *Moving) Proposals() *brring.Latest[[]brmove.Proposal] { return m.duty.Snapshots() }
+
+// key tells proposals apart.
+type key struct {
+	move  string
+	state brconfig.MoveState
+	step  int
+	by    int64 // Unix time in seconds
+}
+
+func keyOf(p brmove.Proposal) key {
+	return key{move: p.Name(), state: p.State(), step: p.Step(), by: p.Base().By().Unix()}
+}
+
+type handler struct {
+	vm        string
+	clock     brclock.Clock
+	recorder  Recorder
+	events    brevent.Recorder
+	logger    *log.Logger
+	proposals []brmove.Proposal
+	due       map[key]time.Time
+	written   map[key]bool            // and reported, while still proposed
+	unsure    map[key]brmove.Proposal // whose outcome is unknown
+}
+
+// Handle does nothing: the duty takes no messages.
+func (*handler) Handle(context.Context, struct{}) {}
+
+// Update takes the proposals. One that is no longer made is forgotten, but for
+// one that may have been written.
+func (h *handler) Update(_ context.Context, proposals []brmove.Proposal) {
+	due := make(map[key]time.Time, len(proposals))
+	written := map[key]bool{}
+	for _, p := range proposals {
+		k := keyOf(p)
+		at, ok := h.due[k]
+		if !ok {
+			at = h.nextAttempt()
+		}
+		due[k] = at
+		if h.written[k] {
+			written[k] = true
+		}
+	}
+	for k := range h.unsure {
+		due[k] = h.due[k]
+	}
+	h.proposals = proposals
+	h.due = due
+	h.written = written
+}
+
+func (h *handler) nextAttempt() time.Time {
+	return h.clock.Now().Add(rand.N(writeSpread))
+}
+
+// Tick writes the proposals that are due.
+func (h *handler) Tick(ctx context.Context, now time.Time) {
+	for _, p := range h.pending() {
+		k := keyOf(p)
+		if now.Before(h.due[k]) {
+			continue
+		}
+		h.write(ctx, k, p)
+		h.due[k] = h.nextAttempt()
+	}
+}
+
+// pending returns the proposals that are not known to be written.
+func (h *handler) pending() []brmove.Proposal {
+	pending := []brmove.Proposal{}
+	for _, p := range h.unsure {
+		pending = append(pending, p)
+	}
+	for _, p := range h.proposals {
+		_, isUnsure := h.unsure[keyOf(p)]
+		if !isUnsure && !h.written[keyOf(p)] {
+			pending = append(pending, p)
+		}
+	}
+	return pending
+}
+
+func (h *handler) write(ctx context.Context, k key, p brmove.Proposal) {
+	written, err := h.recorder.RecordMove(ctx, h.vm, p)
+	if err != nil {
+		h.unsure[k] = p
+		h.logger.Warn("record of move failed", "move", p.Name(), "error", err)
+		return
+	}
+	delete(h.unsure, k)
+	if !written {
+		return
+	}
+	h.written[k] = true
+	event := brevent.New(kindOf(p.State())).WithMove(p.Name())
+	h.events.Record(event.WithDetail("reason", p.Reason()))
+}
+
+func kindOf(state brconfig.MoveState) brevent.Kind {
+	switch state {
+	case brconfig.MoveDone:
+		return brevent.KindMoveDone
+	case brconfig.MoveUndone:
+		return brevent.KindMoveUndone
+	default:
+		return brevent.KindMoveStep
+	}
+}
--- a/internal/model/brconfig/move.go
+++ b/internal/model/brconfig/move.go
@@ -67,6 +67,14 @@
 	return []Reference{NewReference(KindService, m.service)}
 }
 
+// Claims returns the service, which has one move at most that has not ended.
+func (m Move) Claims() []Claim {
+	if m.state != MovePlanned && m.state != MoveRunning {
+		return nil
+	}
+	return []Claim{NewClaim("move of", m.service)}
+}
+
 // Service returns the name of the service.
 func (m Move) Service() string { return m.service }
 
--- a/internal/model/brrequest/outcome.go
+++ b/internal/model/brrequest/outcome.go
@@ -26,6 +26,7 @@
 	server  string
 	kind    OutcomeKind
 	latency time.Duration
+	route   string
 }
 
 // NewOutcome returns the end of a request on a server, with the time from
@@ -34,6 +35,15 @@
 	return Outcome{server: server, kind: kind, latency: latency}
 }
 
+// WithRoute returns the outcome with the name of the request's route.
+func (o Outcome) WithRoute(route string) Outcome {
+	o.route = route
+	return o
+}
+
+// Route returns the name of the request's route, or "" where it does not matter.
+func (o Outcome) Route() string { return o.route }
+
 // Server returns the name of the server.
 func (o Outcome) Server() string { return o.server }
 
--- a/internal/model/brrequest/placement.go
+++ b/internal/model/brrequest/placement.go
@@ -11,6 +11,7 @@
 	organisation string
 	weight       int
 	deadline     time.Time
+	route        string
 	avoided      []string
 }
 
@@ -31,6 +32,12 @@
 	return p
 }
 
+// WithRoute returns the placement with the name of the request's route.
+func (p Placement) WithRoute(route string) Placement {
+	p.route = route
+	return p
+}
+
 // Avoiding returns the placement with one more server that is not wanted.
 func (p Placement) Avoiding(server string) Placement {
 	p.avoided = append(slices.Clip(p.avoided), server)
@@ -46,6 +53,9 @@
 // Weight returns the organisation's weight in fair queues.
 func (p Placement) Weight() int { return p.weight }
 
+// Route returns the name of the request's route, or "" where it does not matter.
+func (p Placement) Route() string { return p.route }
+
 // Deadline returns the time at which the placement is given up, or the zero time.
 func (p Placement) Deadline() time.Time { return p.deadline }
 
--- a/internal/service/bradministration/apply.go
+++ b/internal/service/bradministration/apply.go
@@ -10,6 +10,7 @@
 	"bergamotroad.example/bergamotroad/internal/codec/brdocument"
 	"bergamotroad.example/bergamotroad/internal/decide/braccess"
 	"bergamotroad.example/bergamotroad/internal/decide/brcheck"
+	"bergamotroad.example/bergamotroad/internal/decide/brmove"
 	"bergamotroad.example/bergamotroad/internal/decide/brselect"
 	"bergamotroad.example/bergamotroad/internal/decide/brshare"
 	"bergamotroad.example/bergamotroad/internal/model/brconfig"
@@ -119,13 +120,14 @@
 // examine returns the changes of an operation and warnings, or why it is refused.
 func (a *Administration) examine(snapshot *brconfig.Snapshot, operation Operation) ([]brconfig.Change, []string, error) {
 	// This VM may have let in an operator whose token was withdrawn since.
-	if !a.policy.Confirms(snapshot, operation.principal) {
+	if !operation.internal && !a.policy.Confirms(snapshot, operation.principal) {
 		return nil, nil, ErrUnidentified{}
 	}
 	changes, err := operation.edit(snapshot)
 	if err != nil {
 		return nil, nil, errors.Errorf("make change: %w", err)
 	}
+	changes = brmove.KeepStates(snapshot, changes)
 	if err := braccess.Check(operation.principal, snapshot, changes); err != nil {
 		return nil, nil, errors.Errorf("check rights: %w", err)
 	}
@@ -142,6 +144,9 @@
 	if err := brcheck.Quotas(snapshot, next, changes); err != nil {
 		return nil, nil, errors.Errorf("check limits: %w", err)
 	}
+	if err := brmove.CheckChanged(a.clock.Now(), next, changes); err != nil {
+		return nil, nil, errors.Errorf("check moves: %w", err)
+	}
 	if err := checkContracts(next, changes); err != nil {
 		return nil, nil, err
 	}
--- a/internal/service/bradministration/error.go
+++ b/internal/service/bradministration/error.go
@@ -8,6 +8,7 @@
 	"bergamotroad.example/bergamotroad/internal/codec/brdocument"
 	"bergamotroad.example/bergamotroad/internal/decide/braccess"
 	"bergamotroad.example/bergamotroad/internal/decide/brcheck"
+	"bergamotroad.example/bergamotroad/internal/decide/brmove"
 	"bergamotroad.example/bergamotroad/internal/decide/brselect"
 )
 
@@ -155,7 +156,7 @@
 
 // IsErrRefused reports whether a change was refused for what it holds.
 func IsErrRefused(err error) bool {
-	return IsErrContract(err) || braccess.IsErrLockout(err) || brcheck.IsErrInvalid(err) || brcheck.IsErrTooMany(err) || brselect.IsErrContradiction(err)
+	return IsErrContract(err) || brmove.IsErrInfeasible(err) || braccess.IsErrLockout(err) || brcheck.IsErrInvalid(err) || brcheck.IsErrTooMany(err) || brselect.IsErrContradiction(err)
 }
 
 // Fault is what is wrong with one field of a resource.
--- a/internal/service/bradministration/operation.go
+++ b/internal/service/bradministration/operation.go
@@ -26,6 +26,7 @@
 	edit        Edit
 
 	withoutWitness bool
+	internal       bool // made by the VM itself, without token
 }
 
 // NewOperation returns an operation with an identifier of its own.
--- a/internal/service/brdispatch/attempt.go
+++ b/internal/service/brdispatch/attempt.go
@@ -82,7 +82,7 @@
 	answer, err := d.backend.Send(ctx, server, j.attempt(ctx, sent))
 	latency := d.clock.Now().Sub(sent)
 	end, kind := d.outcome(ctx, j, answer, err)
-	d.balancing.Release(brrequest.NewOutcome(server.Name(), kind, latency))
+	d.balancing.Release(brrequest.NewOutcome(server.Name(), kind, latency).WithRoute(j.route().Name()))
 	d.tellPoisoning(ctx, j, server, end, kind)
 	return end
 }
--- a/internal/service/brdispatch/job.go
+++ b/internal/service/brdispatch/job.go
@@ -53,7 +53,7 @@
 	}
 	j.body = taken
 	j.fingerprint = brrequest.NewFingerprint(j.route().Name(), j.call.Method(), j.call.Target(), taken.kept, j.call.Size())
-	j.placement = brrequest.NewPlacement(j.route().Service(), j.verdict.Organisation()).WithWeight(j.verdict.Weight())
+	j.placement = brrequest.NewPlacement(j.route().Service(), j.verdict.Organisation()).WithWeight(j.verdict.Weight()).WithRoute(j.route().Name())
 	if deadline, ok := ctx.Deadline(); ok {
 		j.placement = j.placement.WithDeadline(deadline)
 	}
--- a/internal/service/brnode/duties.go
+++ b/internal/service/brnode/duties.go
@@ -10,6 +10,7 @@
 		n.certificates().Duty(),
 		n.admission.Duty(),
 		n.balancing.Duty(),
+		n.moving.Duty(),
 		n.steering.Duty(),
 		n.spreading.Duty(),
 		n.revoking.Duty(),
--- a/internal/service/brnode/fronts.go
+++ b/internal/service/brnode/fronts.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-faster/errors"
 
+	"bergamotroad.example/bergamotroad/internal/duty/brmoving"
 	"bergamotroad.example/bergamotroad/internal/peer/brcaller"
 	"bergamotroad.example/bergamotroad/internal/peer/brobject"
 	"bergamotroad.example/bergamotroad/internal/peer/broperator"
@@ -27,6 +28,8 @@
 		return errors.Errorf("make callers' front: %w", err)
 	}
 	administration := bradministration.New(n.clock, accessPolicy(n.settings.Operators().Administration()), n.writing, n.spreading, table, objects, n.spread.witnesses, n.timeline)
+	n.moving = brmoving.New(n.settings.VM(), n.clock, administration, n.timeline, n.logger)
+	n.balancing.SubscribeProposals(n.moving.Proposals())
 	operators, err := broperator.NewHandler(n.settings.VM(), administration, n.timeline, n.metrics())
 	if err != nil {
 		return errors.Errorf("make operators' front: %w", err)
--- a/internal/service/brnode/node.go
+++ b/internal/service/brnode/node.go
@@ -19,6 +19,7 @@
 	"bergamotroad.example/bergamotroad/internal/duty/bradmission"
 	"bergamotroad.example/bergamotroad/internal/duty/brbalancing"
 	"bergamotroad.example/bergamotroad/internal/duty/brcertificate"
+	"bergamotroad.example/bergamotroad/internal/duty/brmoving"
 	"bergamotroad.example/bergamotroad/internal/duty/brpolling"
 	"bergamotroad.example/bergamotroad/internal/duty/brrevoking"
 	"bergamotroad.example/bergamotroad/internal/duty/brspreading"
@@ -40,6 +41,7 @@
 	timeline  *brtimeline.Timeline
 	admission *bradmission.Admission
 	balancing *brbalancing.Balancing
+	moving    *brmoving.Moving
 	steering  *brsteering.Steering
 	spreading *brspreading.Spreading
 	revoking  *brrevoking.Revoking
