--- a/internal/decide/brmove/gate_test.go
+++ b/internal/decide/brmove/gate_test.go
@@ -46,6 +46,9 @@
 	}
 	v.moved++
 	v.over++
+	isTold := w.now.After(v.cutUntil.Add(spreadMost * worldStep))
+	isOver := !w.endedAt.IsZero() && w.now.Sub(w.endedAt) > spreadMost*worldStep
+	require.False(t, isTold && isOver, "moved after the move was taken back")
 	require.Equal(t, brconfig.MoveRunning, known.State(), "moved in state %s", known.State())
 	require.True(t, w.now.Before(known.By()), "moved after its time")
 	require.False(t, wasBraked, "moved after the brake")
@@ -112,3 +115,30 @@
 		}
 	})
 }
+
+// A move is refused where its steps can't fit before its time or its service
+// lacks one of the versions.
+func TestMoveThatCannotFitIsRefused(t *testing.T) {
+	now := time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+	limit := brunit.New(1, 2)
+	move := brconfig.NewMove(brconfig.NewMeta("m"), "lookup", oldVersion, newVersion).WithCap(limit)
+	resources := []brconfig.Change{
+		brconfig.Put(brconfig.NewRegion(brconfig.NewMeta("r"))),
+		brconfig.Put(brconfig.NewDomain(brconfig.NewMeta("a"), "r")),
+		brconfig.Put(brconfig.NewService(brconfig.NewMeta("lookup"))),
+		brconfig.Put(brconfig.NewServer(brconfig.NewMeta("s1"), "lookup", "a", "127.0.0.1:1", 3).WithVersion(oldVersion)),
+		brconfig.Put(brconfig.NewServer(brconfig.NewMeta("s2"), "lookup", "a", "127.0.0.1:2", 3).WithVersion(newVersion)),
+	}
+	check := func(m brconfig.Move) error {
+		changes := append(resources[:len(resources):len(resources)], brconfig.Put(m))
+		snapshot, err := brconfig.NewSnapshot().Apply(1, changes)
+		require.NoError(t, err)
+		return brmove.CheckChanged(now, snapshot, changes)
+	}
+	needed := brmove.Needed(limit)
+	require.NoError(t, check(move.WithTimes(now, now.Add(needed))))
+	require.True(t, brmove.IsErrInfeasible(check(move.WithTimes(now, now.Add(needed-1)))))
+	require.True(t, brmove.IsErrInfeasible(check(move.WithTimes(now.Add(-time.Hour), now.Add(needed-1)))))
+	other := brconfig.NewMove(brconfig.NewMeta("m"), "lookup", oldVersion, "v3").WithCap(limit)
+	require.True(t, brmove.IsErrInfeasible(check(other.WithTimes(now, now.Add(time.Hour)))))
+}
--- a/internal/duty/brmoving/duty.go
+++ b/internal/duty/brmoving/duty.go
@@ -42,13 +42,14 @@
 
 // Moving is the duty.
 type Moving struct {
-	duty *brduty.Duty[struct{}, []brmove.Proposal]
+	handler *handler
+	duty    *brduty.Duty[struct{}, []brmove.Proposal]
 }
 
 // New returns the duty of a VM.
 func New(vm string, clock brclock.Clock, recorder Recorder, events brevent.Recorder, logger *log.Logger) *Moving {
 	h := &handler{vm: vm, clock: clock, recorder: recorder, events: events, logger: logger, due: map[key]time.Time{}, written: map[key]bool{}, unsure: map[key]brmove.Proposal{}}
-	return &Moving{duty: brduty.New[struct{}, []brmove.Proposal]("moving", h, clock, brduty.WithPeriod(tickPeriod))}
+	return &Moving{handler: h, duty: brduty.New[struct{}, []brmove.Proposal]("moving", h, clock, brduty.WithPeriod(tickPeriod))}
 }
 
 // Duty returns the duty to be started.
--- /dev/null
+++ b/internal/duty/brmoving/duty_test.go
@@ -0,0 +1,86 @@
+package brmoving
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/go-faster/errors"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/decide/brmove"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brevent"
+	_ "bergamotroad.example/bergamotroad/internal/standin/brseed"
+)
+
+var errLost = errors.New("answer is lost")
+
+// record is a move's record that VMs write; answers may be lost before or after.
+type record struct {
+	move   brconfig.Move
+	author string
+	now    time.Time
+	fault  func() int
+}
+
+// RecordMove writes as the administration does.
+func (r *record) RecordMove(_ context.Context, vm string, p brmove.Proposal) (bool, error) {
+	fault := r.fault()
+	if fault == 1 {
+		return false, errLost
+	}
+	if next, ok := p.Apply(r.now, r.move).Get(); ok {
+		r.move = next
+		r.author = vm
+	}
+	if fault == 2 {
+		return false, errLost
+	}
+	return r.author == vm && r.move.State() == p.State(), nil
+}
+
+// events keeps what is recorded.
+type events struct{ kinds []brevent.Kind }
+
+// Record keeps the kind.
+func (e *events) Record(event brevent.Event) { e.kinds = append(e.kinds, event.Kind()) }
+
+// However many VMs propose and answers are lost, the end is told once.
+func TestEndOfMoveIsToldOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		start := time.Date(2026, 12, 4, 12, 0, 0, 0, time.UTC)
+		move := brconfig.NewMove(brconfig.NewMeta("m"), "lookup", "v1", "v2").WithTimes(start.Add(-time.Hour), start)
+		faults := 20
+		r := &record{move: move, now: start, fault: func() int {
+			faults--
+			if faults < 0 {
+				return 0
+			}
+			return rapid.IntRange(0, 2).Draw(t, "fault")
+		}}
+		told := &events{}
+		handlers := []*handler{}
+		for _, vm := range []string{"vm-1", "vm-2", "vm-3"} {
+			h := New(vm, brclock.NewFake(start), r, told, log.New(io.Discard)).handler
+			handlers = append(handlers, h)
+		}
+		for i := range 60 {
+			for _, h := range handlers {
+				proposals := []brmove.Proposal{}
+				// The VMs hear of the record some time after it is written.
+				if p, ok := brmove.NewGate(start, move).Propose(start).Get(); ok && i < 10 {
+					proposals = append(proposals, p)
+				}
+				h.Update(t.Context(), proposals)
+				h.Tick(t.Context(), start.Add(time.Duration(i)*writeSpread))
+			}
+		}
+		require.Equal(t, brconfig.MoveUndone, r.move.State())
+		require.Equal(t, []brevent.Kind{brevent.KindMoveUndone}, told.kinds)
+	})
+}
