--- a/internal/duty/brbalancing/duty.go
+++ b/internal/duty/brbalancing/duty.go
@@ -22,12 +22,14 @@
 	"bergamotroad.example/bergamotroad/internal/core/broption"
 	"bergamotroad.example/bergamotroad/internal/core/brring"
 	"bergamotroad.example/bergamotroad/internal/decide/brbalance"
+	"bergamotroad.example/bergamotroad/internal/decide/brmove"
 	"bergamotroad.example/bergamotroad/internal/model/brconfig"
 	"bergamotroad.example/bergamotroad/internal/model/brrequest"
 )
 
 const (
-	queueCapacity = 4096 // placements
+	queueCapacity  = 4096 // placements
+	proposalPeriod = time.Second
 	// queueReserve takes the ends of requests that run, of which the callers'
 	// front bounds the number.
 	queueReserve = 8192 // messages
@@ -61,6 +63,7 @@
 
 // Balancing is the duty with the calls that reach it.
 type Balancing struct {
+	handler *handler
 	duty    *brduty.Duty[message, *brconfig.Snapshot]
 	servers *brring.ReplyPool[broption.Option[brconfig.Server]]
 }
@@ -69,6 +72,7 @@
 func New(vm, domain string, clock brclock.Clock) *Balancing {
 	h := &handler{clock: clock, lines: map[string]*line{}, balancer: brbalance.NewBalancer[brbalance.LeastLoaded](vm, domain, rand.Uint64())}
 	return &Balancing{
+		handler: h,
 		duty:    brduty.New("balancing", h, clock, brduty.WithCapacity(queueCapacity), brduty.WithReserve(queueReserve)),
 		servers: brring.NewReplyPool[broption.Option[brconfig.Server]](),
 	}
@@ -80,6 +84,12 @@
 // Snapshots returns the ring that takes the configuration.
 func (b *Balancing) Snapshots() *brring.Latest[*brconfig.Snapshot] { return b.duty.Snapshots() }
 
+// SubscribeProposals has a ring get the next records of moves, each tick. It
+// is called before the duty starts.
+func (b *Balancing) SubscribeProposals(ring *brring.Latest[[]brmove.Proposal]) {
+	b.handler.proposals = ring
+}
+
 // Pick takes a slot of a server, and waits for its turn as long as the placement
 // says. It returns ErrServerNotExist where none is free.
 func (b *Balancing) Pick(ctx context.Context, placement brrequest.Placement) (brconfig.Server, error) {
@@ -115,6 +125,9 @@
 	clock    brclock.Clock
 	lines    map[string]*line // by service
 	balancer *brbalance.Balancer[brbalance.LeastLoaded]
+
+	proposals *brring.Latest[[]brmove.Proposal]
+	proposed  time.Time
 }
 
 // Handle picks or releases.
@@ -137,3 +150,12 @@
 	h.balancer.Update(h.clock.Now(), snapshot)
 	h.serveAll(h.clock.Now())
 }
+
+// propose sends the next records of moves, once a period.
+func (h *handler) propose(now time.Time) {
+	if h.proposals == nil || now.Sub(h.proposed) < proposalPeriod {
+		return
+	}
+	h.proposed = now
+	_ = h.proposals.Send(h.balancer.Proposals(now))
+}
--- a/internal/duty/brbalancing/queue.go
+++ b/internal/duty/brbalancing/queue.go
@@ -115,7 +115,8 @@
 	}
 }
 
-// Tick refuses those who have waited too long and serves the others.
+// Tick refuses those who have waited too long, serves the others and sends the
+// next records of moves.
 func (h *handler) Tick(_ context.Context, now time.Time) {
 	for _, waiting := range h.lines {
 		for _, item := range waiting.queue.Expire(now) {
@@ -127,6 +128,7 @@
 		}
 	}
 	h.serveAll(now)
+	h.propose(now)
 }
 
 // expiryPeriod bounds how late a placement that waited too long is refused.
--- a/internal/service/brdispatch/turn.go
+++ b/internal/service/brdispatch/turn.go
@@ -27,6 +27,7 @@
 func (d *Dispatcher) attemptInTurn(ctx context.Context, j *job) ending {
 	placement := brrequest.NewPlacement(j.placement.Service(), j.placement.Organisation()).
 		WithWeight(j.placement.Weight()).
+		WithRoute(j.placement.Route()).
 		WithDeadline(j.placement.Deadline()).
 		Waiting(maxTurn)
 	server, err := d.balancing.Pick(ctx, placement)
