Claim requests with an Idempotency-Key before they run

Cause: the duty that claims keys was in no request's way. Change: the dispatcher claims keyed requests of an organisation, keeps the answer of those that ran, releases those that did not, and answers repetitions; a duty deletes claims after 24 h; a planned stop waits for the table to take what became of claimed requests. A property brings about crashes of VMs and all ends of writes over dispatcher, claims and a server.

--- /dev/null
+++ b/internal/duty/brclaiming/drain.go
@@ -0,0 +1,31 @@
+package brclaiming
+
+import (
+	"context"
+
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/core/brring"
+)
+
+// Drain waits until the table has taken all records and releases.
+func (c *Claiming) Drain(ctx context.Context) error {
+	_, err := brring.Ask(ctx, c.duty.Queue(), c.rulings, func(reply brring.Reply[Ruling]) message {
+		return message{drains: true, reply: reply}
+	})
+	if err != nil {
+		return errors.Errorf("drain claims: %w", err)
+	}
+	return nil
+}
+
+// answerDrains answers those who wait for the records and releases.
+func (h *handler) answerDrains() {
+	if len(h.records) > 0 || len(h.releases) > 0 {
+		return
+	}
+	for _, reply := range h.drains {
+		reply.Answer(Ruling{})
+	}
+	h.drains = nil
+}
--- a/internal/duty/brclaiming/duty.go
+++ b/internal/duty/brclaiming/duty.go
@@ -22,6 +22,8 @@
 //	if ruling.Judgement() == bridempotent.Run {
 //		// run it, then
 //		claiming.Keep(brclaim.NewRecord(claim).WithAnswer(answer))
+//		// or, where it did not run,
+//		claiming.Release(claim)
 //	}
 package brclaiming
 
@@ -69,11 +71,13 @@
 
 // message is a claim, or a record to be kept.
 type message struct {
-	claim  brclaim.Claim
-	until  time.Time
-	reply  brring.Reply[Ruling]
-	record brclaim.Record
-	keeps  bool
+	claim    brclaim.Claim
+	until    time.Time
+	reply    brring.Reply[Ruling]
+	record   brclaim.Record
+	keeps    bool
+	releases bool
+	drains   bool
 }
 
 // Claiming is the duty with the calls that reach it.
--- a/internal/duty/brclaiming/handler.go
+++ b/internal/duty/brclaiming/handler.go
@@ -7,6 +7,7 @@
 
 	"bergamotroad.example/bergamotroad/internal/codec/brclaimrow"
 	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/core/brring"
 	"bergamotroad.example/bergamotroad/internal/decide/bridempotent"
 	"bergamotroad.example/bergamotroad/internal/model/brclaim"
 	"bergamotroad.example/bergamotroad/internal/peer/brtable"
@@ -17,6 +18,8 @@
 	maxKept        = 4096 // records that wait to be written
 	retryDelay     = 50 * time.Millisecond
 	keepRetryDelay = time.Second
+	// maxKeepAge is shorter than the time for which claims are kept.
+	maxKeepAge = bridempotent.Retention / 2
 )
 
 // step is what a claim needs next.
@@ -37,11 +40,14 @@
 // handler makes one call to the table in each round, so that it comes back to
 // its ring between calls.
 type handler struct {
-	table    brtable.Table
-	clock    brclock.Clock
-	attempts []*attempt
-	records  []brclaim.Record
-	keepDue  time.Time
+	table      brtable.Table
+	clock      brclock.Clock
+	attempts   []*attempt
+	records    []brclaim.Record
+	keepDue    time.Time
+	releases   []brclaim.Claim
+	releaseDue time.Time
+	drains     []brring.Reply[Ruling]
 }
 
 // Handle takes a claim or a record.
@@ -50,6 +56,15 @@
 		h.keep(m.record)
 		return
 	}
+	if m.drains {
+		h.drains = append(h.drains, m.reply)
+		h.answerDrains()
+		return
+	}
+	if m.releases {
+		h.release(m.claim)
+		return
+	}
 	h.attempts = append(h.attempts, &attempt{message: m})
 }
 
@@ -58,7 +73,9 @@
 
 // Tick makes one call to the table, if one is due.
 func (h *handler) Tick(ctx context.Context, now time.Time) {
+	defer h.answerDrains()
 	h.giveUp(now)
+	h.dropOld(now)
 	if a := h.dueRead(now); a != nil {
 		h.read(ctx, a)
 		return
@@ -69,12 +86,16 @@
 	}
 	if len(h.records) > 0 && !now.Before(h.keepDue) {
 		h.writeRecords(ctx)
+		return
+	}
+	if len(h.releases) > 0 && !now.Before(h.releaseDue) {
+		h.writeRelease(ctx)
 	}
 }
 
 // Due returns the time until the next call to the table.
 func (h *handler) Due(now time.Time) (time.Duration, bool) {
-	if len(h.attempts) == 0 && len(h.records) == 0 {
+	if len(h.attempts) == 0 && len(h.records) == 0 && len(h.releases) == 0 {
 		return 0, false
 	}
 	due := now.Add(time.Hour)
@@ -85,6 +106,9 @@
 	if len(h.records) > 0 {
 		due = earlier(due, h.keepDue)
 	}
+	if len(h.releases) > 0 {
+		due = earlier(due, h.releaseDue)
+	}
 	return due.Sub(now), true
 }
 
--- /dev/null
+++ b/internal/duty/brclaiming/release.go
@@ -0,0 +1,84 @@
+package brclaiming
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/codec/brclaimrow"
+	"bergamotroad.example/bergamotroad/internal/model/brclaim"
+	"bergamotroad.example/bergamotroad/internal/peer/brtable"
+)
+
+const maxReleases = 1024 // claims that wait to be released
+
+// Release deletes the claim of an attempt that did not run, as soon as the
+// table takes it, so that a repetition may run. Where that fails the claim
+// stays and reads as unknown.
+func (c *Claiming) Release(claim brclaim.Claim) error {
+	if err := c.duty.Queue().Send(message{claim: claim, releases: true}); err != nil {
+		return errors.Errorf("release claim: %w", err)
+	}
+	return nil
+}
+
+// release forgets an attempt of the claim and puts the claim where it waits to
+// be released. The oldest one makes room.
+func (h *handler) release(claim brclaim.Claim) {
+	h.attempts = slices.DeleteFunc(h.attempts, func(a *attempt) bool {
+		same := a.message.claim.Nonce() == claim.Nonce()
+		if same {
+			a.message.reply.Answer(Ruling{err: ErrClaimUnavailable{}})
+		}
+		return same
+	})
+	if len(h.releases) >= maxReleases {
+		h.releases = slices.Delete(h.releases, 0, 1)
+	}
+	h.releases = append(h.releases, claim)
+}
+
+// writeRelease releases the oldest claim that waits for it.
+func (h *handler) writeRelease(ctx context.Context) {
+	err := h.deleteClaim(ctx, h.releases[0])
+	if err != nil {
+		h.releaseDue = h.clock.Now().Add(keepRetryDelay)
+		return
+	}
+	h.releases = slices.Delete(h.releases, 0, 1)
+}
+
+// deleteClaim deletes the row that it has read and no later one: another
+// attempt's claim may take its place at any time.
+func (h *handler) deleteClaim(ctx context.Context, claim brclaim.Claim) error {
+	key := brclaimrow.Key(claim.ID())
+	row, err := h.table.Read(ctx, key)
+	if brtable.IsErrRowNotExist(err) {
+		return nil
+	}
+	if err != nil {
+		return errors.Errorf("read claim: %w", err)
+	}
+	record, err := brclaimrow.Decode(row.Value())
+	if err != nil || !releasable(record, claim) {
+		return nil
+	}
+	err = h.table.Commit(ctx, brtable.NewTransaction().Require(key, row.Version()).Delete(key))
+	if err != nil && !brtable.IsErrPrecondition(err) {
+		return errors.Errorf("delete claim: %w", err)
+	}
+	return nil
+}
+
+func releasable(record brclaim.Record, claim brclaim.Claim) bool {
+	return record.Claim().Nonce() == claim.Nonce() && record.State() == brclaim.StateClaimed
+}
+
+// dropOld drops the records that come too late: their keys may be free soon.
+func (h *handler) dropOld(now time.Time) {
+	h.records = slices.DeleteFunc(h.records, func(record brclaim.Record) bool {
+		return now.After(record.Claim().Deadline().Add(maxKeepAge))
+	})
+}
--- /dev/null
+++ b/internal/duty/brsweeping/duty.go
@@ -0,0 +1,112 @@
+// Package brsweeping provides the duty that deletes old claims from the
+// platform's table.
+//
+// Claims are divided into shards by their identifiers. Every period the duty
+// scans one shard, if this VM is among the few that clean it up, and deletes
+// what is older than bridempotent.Retention, with a bounded number of rows to a
+// write. Each deletion is bound to the version that was read.
+//
+// # Usage
+//
+//	sweeping := brsweeping.New("vm-1", clock, table, logger)
+//	spreading.Subscribe(sweeping.Snapshots())
+//	group.Start(sweeping.Duty())
+package brsweeping
+
+import (
+	"context"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/codec/brclaimrow"
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/core/brduty"
+	"bergamotroad.example/bergamotroad/internal/core/brring"
+	"bergamotroad.example/bergamotroad/internal/decide/bridempotent"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/peer/brtable"
+)
+
+const (
+	// period is the time between two shards, so that all are scanned in about
+	// an hour.
+	period = 15 * time.Second
+	// maxDeletes bounds the rows of one transaction.
+	maxDeletes = 64
+)
+
+// Sweeping is the duty.
+type Sweeping struct {
+	duty *brduty.Duty[struct{}, *brconfig.Snapshot]
+}
+
+// New returns the duty of a VM.
+func New(vm string, clock brclock.Clock, table brtable.Table, logger *log.Logger) *Sweeping {
+	h := &handler{vm: vm, clock: clock, table: table, logger: logger}
+	return &Sweeping{duty: brduty.New[struct{}, *brconfig.Snapshot]("sweeping", h, clock, brduty.WithPeriod(period))}
+}
+
+// Duty returns the duty to be started.
+func (s *Sweeping) Duty() brduty.Runner { return s.duty }
+
+// Snapshots returns the ring that takes snapshots.
+func (s *Sweeping) Snapshots() *brring.Latest[*brconfig.Snapshot] { return s.duty.Snapshots() }
+
+type handler struct {
+	vm     string
+	clock  brclock.Clock
+	table  brtable.Table
+	logger *log.Logger
+	vms    []string
+	shard  int
+}
+
+// Handle does nothing: no messages are sent to this duty.
+func (*handler) Handle(context.Context, struct{}) {}
+
+// Update takes the VMs of a snapshot.
+func (h *handler) Update(_ context.Context, snapshot *brconfig.Snapshot) {
+	h.vms = nil
+	for v := range snapshot.VMs().All() {
+		h.vms = append(h.vms, v.Name())
+	}
+}
+
+// Tick cleans up the next shard, if it is this VM's.
+func (h *handler) Tick(ctx context.Context, now time.Time) {
+	shard := h.shard
+	h.shard = (h.shard + 1) % bridempotent.Shards
+	if !bridempotent.Sweeps(h.vm, shard, h.vms) {
+		return
+	}
+	if err := h.sweep(ctx, shard, now); err != nil {
+		h.logger.Warn("old claims stay", "shard", shard, "error", err)
+	}
+}
+
+func (h *handler) sweep(ctx context.Context, shard int, now time.Time) error {
+	rows, err := h.table.Scan(ctx, brclaimrow.Prefix+bridempotent.ShardPrefix(shard))
+	if err != nil {
+		return errors.Errorf("scan claims: %w", err)
+	}
+	transaction := brtable.NewTransaction()
+	for _, row := range rows {
+		record, err := brclaimrow.Decode(row.Value())
+		if err != nil || !bridempotent.Expired(record, now) {
+			continue
+		}
+		transaction = transaction.Require(row.Key(), row.Version()).Delete(row.Key())
+		if len(transaction.Writes()) == maxDeletes {
+			break
+		}
+	}
+	if len(transaction.Writes()) == 0 {
+		return nil
+	}
+	if err := h.table.Commit(ctx, transaction); err != nil && !brtable.IsErrPrecondition(err) {
+		return errors.Errorf("delete old claims: %w", err)
+	}
+	return nil
+}
--- a/internal/peer/brcaller/answer.go
+++ b/internal/peer/brcaller/answer.go
@@ -60,7 +60,11 @@
 		return http.StatusNotFound
 	case brrequest.ReasonOverRate:
 		return http.StatusTooManyRequests
-	case brrequest.ReasonPoison:
+	case brrequest.ReasonIdempotencyKeyInvalid:
+		return http.StatusBadRequest
+	case brrequest.ReasonInProgress, brrequest.ReasonOutcomeUnknown, brrequest.ReasonAnswerNotKept:
+		return http.StatusConflict
+	case brrequest.ReasonPoison, brrequest.ReasonIdempotencyKeyReused:
 		return http.StatusUnprocessableEntity
 	case brrequest.ReasonBodyTooLarge:
 		return http.StatusRequestEntityTooLarge
--- /dev/null
+++ b/internal/service/brdispatch/claim_world_test.go
@@ -0,0 +1,266 @@
+package brdispatch_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/core/brduty"
+	"bergamotroad.example/bergamotroad/internal/decide/brpoison"
+	"bergamotroad.example/bergamotroad/internal/duty/brclaiming"
+	"bergamotroad.example/bergamotroad/internal/model/brconfig"
+	"bergamotroad.example/bergamotroad/internal/model/brevent"
+	"bergamotroad.example/bergamotroad/internal/model/brmessage"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+	"bergamotroad.example/bergamotroad/internal/peer/brbackend"
+	"bergamotroad.example/bergamotroad/internal/peer/brtable"
+	"bergamotroad.example/bergamotroad/internal/service/brdispatch"
+	"bergamotroad.example/bergamotroad/internal/standin/brplatform"
+)
+
+// How a transaction of the table ends.
+const (
+	commitTaken = iota
+	commitRefused
+	commitAnswerLost
+	commitLate
+	commitVanished
+)
+
+// How a request at a server ends.
+const (
+	sendWhole = iota
+	sendNotSent
+	sendShed
+	sendUnknownNotRun
+	sendUnknownRan
+	sendCut
+	sendLarge
+	sendEndings
+)
+
+// plan is what is drawn for a schedule.
+type plan struct {
+	calls   []plannedCall
+	crashes []int // by VM: the step at which it crashes, or 0
+	commits []int
+	sends   []int
+}
+
+type plannedCall struct {
+	at           time.Duration
+	vm           int
+	organisation string
+	key          string
+	body         string
+	hangsUp      bool
+}
+
+// claimWorld is a table and servers, which the VMs share. All runs in a bubble
+// of synctest, one goroutine at a time between two waits; the turn makes the
+// steps of goroutines that are awake together exclusive.
+type claimWorld struct {
+	plan     plan
+	turn     chan struct{}
+	table    *brplatform.Table
+	vms      []*claimVM
+	commits  int
+	sends    int
+	runs     map[string][]string // by organisation and key: requests that ran
+	runsOf   map[string]int      // by request
+	attempts map[string]string   // organisation and key by request
+}
+
+func newClaimWorld(ctx context.Context, p plan) *claimWorld {
+	w := &claimWorld{
+		plan:     p,
+		turn:     make(chan struct{}, 1),
+		table:    brplatform.NewTable(brplatform.NewFaults()),
+		runs:     map[string][]string{},
+		runsOf:   map[string]int{},
+		attempts: map[string]string{},
+	}
+	clock := brclock.NewSystem()
+	for i, crash := range p.crashes {
+		vm := &claimVM{world: w, crash: crash, group: brduty.NewGroup(ctx, clock, quiet{})}
+		claiming := brclaiming.New(vm, clock)
+		vm.group.Start(claiming.Duty())
+		vm.dispatcher = brdispatch.New(fmt.Sprint("vm-", i), clock, vm, vm, vm, vm, vm, vm, claiming, vm, vm, vm)
+		w.vms = append(w.vms, vm)
+	}
+	return w
+}
+
+func (w *claimWorld) locked(do func()) {
+	w.turn <- struct{}{}
+	defer func() { <-w.turn }()
+	do()
+}
+
+func (w *claimWorld) stop() {
+	for _, vm := range w.vms {
+		vm.group.Stop()
+	}
+}
+
+type quiet struct{}
+
+func (quiet) DutyStalled(string, int) {}
+
+func (quiet) DutyPanicked(string, any, []byte) {}
+
+// claimVM is one VM, which crashes at a step of its calls to table or server.
+type claimVM struct {
+	world      *claimWorld
+	crash      int
+	steps      int
+	crashed    bool
+	group      *brduty.Group
+	dispatcher *brdispatch.Dispatcher
+}
+
+// dead counts a step and reports whether the VM has crashed by it.
+func (v *claimVM) dead() bool {
+	dead := false
+	v.world.locked(func() {
+		v.steps++
+		v.crashed = v.crashed || v.steps == v.crash
+		dead = v.crashed
+	})
+	return dead
+}
+
+func (v *claimVM) Read(ctx context.Context, key string) (brtable.Row, error) {
+	if v.dead() {
+		return brtable.Row{}, brtable.NewErrUnavailable(errBroken)
+	}
+	row, err := v.world.table.Read(ctx, key)
+	if v.dead() {
+		return brtable.Row{}, brtable.NewErrUnavailable(errBroken)
+	}
+	return row, err
+}
+
+func (v *claimVM) Scan(ctx context.Context, prefix string) ([]brtable.Row, error) {
+	return v.world.table.Scan(ctx, prefix)
+}
+
+func (v *claimVM) Commit(ctx context.Context, transaction brtable.Transaction) error {
+	if v.dead() {
+		return brtable.NewErrUnavailable(errBroken)
+	}
+	err := v.commit(ctx, transaction)
+	if v.dead() {
+		return brtable.NewErrUnavailable(errBroken)
+	}
+	return err
+}
+
+func (v *claimVM) commit(ctx context.Context, transaction brtable.Transaction) error {
+	w := v.world
+	ending := commitTaken
+	w.locked(func() {
+		ending = w.plan.commits[w.commits%len(w.plan.commits)]
+		w.commits++
+	})
+	time.Sleep(time.Millisecond)
+	switch ending {
+	case commitRefused:
+		return brtable.NewErrUnavailable(errBroken)
+	case commitAnswerLost:
+		_ = w.table.Commit(ctx, transaction)
+		return brtable.NewErrOutcomeUnknown(errBroken)
+	case commitLate:
+		go func() {
+			time.Sleep(1700 * time.Millisecond)
+			_ = w.table.Commit(context.WithoutCancel(ctx), transaction)
+		}()
+		return brtable.NewErrOutcomeUnknown(errBroken)
+	case commitVanished:
+		return brtable.NewErrOutcomeUnknown(errBroken)
+	default:
+		return w.table.Commit(ctx, transaction)
+	}
+}
+
+// Send runs a request at the one server, or breaks before, while or after it runs.
+func (v *claimVM) Send(ctx context.Context, _ brconfig.Server, call brmessage.Call) (*brmessage.Answer, error) {
+	if v.dead() {
+		return nil, brbackend.NewErrNotSent(errBroken)
+	}
+	w := v.world
+	ending := sendWhole
+	request := call.Fields().First("X-Request-Id")
+	w.locked(func() {
+		ending = w.plan.sends[w.sends%len(w.plan.sends)]
+		w.sends++
+		if ending != sendNotSent && ending != sendShed && ending != sendUnknownNotRun {
+			w.runsOf[request]++
+			slot := w.attempts[request]
+			w.runs[slot] = append(w.runs[slot], request)
+		}
+	})
+	time.Sleep(time.Second)
+	if v.dead() || ctx.Err() != nil {
+		return nil, brbackend.NewErrOutcomeUnknown(errBroken)
+	}
+	switch ending {
+	case sendNotSent:
+		return nil, brbackend.NewErrNotSent(errBroken)
+	case sendShed:
+		return nil, brbackend.NewErrShed(0)
+	case sendUnknownNotRun, sendUnknownRan:
+		return nil, brbackend.NewErrOutcomeUnknown(errBroken)
+	case sendCut:
+		return answerOf(io.MultiReader(strings.NewReader("a who"), brokenReader{})), nil
+	case sendLarge:
+		return answerOf(strings.NewReader(strings.Repeat(request, 100<<10))), nil
+	default:
+		return answerOf(strings.NewReader(request)), nil
+	}
+}
+
+// Admit takes the organisation for the caller's path.
+func (*claimVM) Admit(_ context.Context, request brrequest.Request) (brrequest.Verdict, error) {
+	route := brconfig.NewRoute(brconfig.NewMeta("entries"), "ledger", "/").WithRepeat(brconfig.RepeatOnce)
+	return brrequest.Admit(strings.TrimPrefix(request.Path(), "/"), route, 1), nil
+}
+
+func (*claimVM) Guard(ctx context.Context, _ brrequest.KeyHash) (context.Context, context.CancelFunc, error) {
+	return ctx, func() {}, nil
+}
+
+func (*claimVM) Pick(context.Context, brrequest.Placement) (brconfig.Server, error) {
+	return brconfig.NewServer(brconfig.NewMeta("ledger-1"), "ledger", "este-a", "", 1), nil
+}
+
+func (*claimVM) Release(brrequest.Outcome) {}
+
+func (*claimVM) Earn(string) {}
+
+func (*claimVM) Spend(context.Context, string) bool { return true }
+
+func (*claimVM) Next(context.Context, string, []string) (brrequest.Target, bool) {
+	return brrequest.Target{}, false
+}
+
+func (*claimVM) Report(brrequest.Target, brrequest.OutcomeKind) {}
+
+func (*claimVM) Begin(context.Context, brrequest.Fingerprint) brpoison.Verdict { return brpoison.Runs }
+
+func (*claimVM) Ran(brrequest.Fingerprint) {}
+
+func (*claimVM) Ended(brrequest.Fingerprint) {}
+
+func (*claimVM) Killed(brrequest.Fingerprint, string) {}
+
+func (*claimVM) IsDead(context.Context, brconfig.Server) bool { return false }
+
+func (*claimVM) Forward(context.Context, brrequest.Target, brrequest.Request, brrequest.Verdict, brmessage.Call) (*brmessage.Answer, error) {
+	return nil, brbackend.NewErrNotSent(errBroken)
+}
+
+func (*claimVM) Record(brevent.Event) {}
--- a/internal/service/brdispatch/dispatcher.go
+++ b/internal/service/brdispatch/dispatcher.go
@@ -11,7 +11,7 @@
 //
 // # Usage
 //
-//	dispatcher := brdispatch.New(clock, admission, revoking, balancing, retrying, forwarding, poisoning, backend, entry, timeline)
+//	dispatcher := brdispatch.New("vm-1", clock, admission, revoking, balancing, retrying, forwarding, poisoning, claiming, backend, entry, timeline)
 //	result := dispatcher.Dispatch(ctx, request, call, writer)
 //	if !result.Started() {
 //		// write a refusal with result.Reason() and result.Fate()
@@ -107,6 +107,7 @@
 
 // Dispatcher carries requests.
 type Dispatcher struct {
+	vm         string
 	clock      brclock.Clock
 	admission  Admission
 	guard      Guard
@@ -114,14 +115,16 @@
 	retrying   Retrying
 	forwarding Forwarding
 	poisoning  Poisoning
+	claiming   Claiming
 	backend    Backend
 	entry      Entry
 	events     brevent.Recorder
 }
 
-// New returns a dispatcher.
-func New(clock brclock.Clock, admission Admission, guard Guard, balancing Balancing, retrying Retrying, forwarding Forwarding, poisoning Poisoning, backend Backend, entry Entry, events brevent.Recorder) *Dispatcher {
+// New returns the dispatcher of a VM.
+func New(vm string, clock brclock.Clock, admission Admission, guard Guard, balancing Balancing, retrying Retrying, forwarding Forwarding, poisoning Poisoning, claiming Claiming, backend Backend, entry Entry, events brevent.Recorder) *Dispatcher {
 	return &Dispatcher{
+		vm:         vm,
 		clock:      clock,
 		admission:  admission,
 		guard:      guard,
@@ -129,6 +132,7 @@
 		retrying:   retrying,
 		forwarding: forwarding,
 		poisoning:  poisoning,
+		claiming:   claiming,
 		backend:    backend,
 		entry:      entry,
 		events:     events,
@@ -173,11 +177,19 @@
 		return d.finish(j, refusal(brrequest.ReasonBodyTooLarge, 0))
 	}
 	d.record(brevent.KindRequestAdmitted, j)
+	if j.keyed() {
+		return d.finish(j, d.carryClaimed(ctx, j))
+	}
+	return d.finish(j, d.run(ctx, j))
+}
+
+// run sends the request within its time.
+func (d *Dispatcher) run(ctx context.Context, j *job) ending {
 	ctx, cancel := context.WithTimeout(ctx, j.patience(d.clock.Now()))
 	defer cancel()
 	if err := j.prepare(ctx); err != nil {
-		return d.finish(j, refusal(brrequest.ReasonCallerGone, 0))
+		return refusal(brrequest.ReasonCallerGone, 0)
 	}
 	d.retrying.Earn(j.route().Name())
-	return d.finish(j, d.attemptAll(ctx, j))
+	return d.attemptAll(ctx, j)
 }
--- a/internal/service/brdispatch/fake_test.go
+++ b/internal/service/brdispatch/fake_test.go
@@ -54,8 +54,8 @@
 	route := brconfig.NewRoute(brconfig.NewMeta("entries"), "ledger", "/entries").WithRepeat(repeat)
 	w.verdict = brrequest.Admit("taller-norte", route, 1)
 	clock := hastyClock{}
-	w.receiver = brdispatch.New(clock, w, w, w, w, w, w, w, w, w)
-	return w, brdispatch.New(clock, w, w, w, w, w, w, w, w, w)
+	w.receiver = brdispatch.New("vm-2", clock, w, w, w, w, w, w, nil, w, w, w)
+	return w, brdispatch.New("vm-1", clock, w, w, w, w, w, w, nil, w, w, w)
 }
 
 func (w *world) Admit(context.Context, brrequest.Request) (brrequest.Verdict, error) {
--- a/internal/service/brnode/duties.go
+++ b/internal/service/brnode/duties.go
@@ -5,7 +5,7 @@
 )
 
 func (n *Node) duties() []brduty.Runner {
-	return append(n.requests.duties(),
+	return append(append(n.requests.duties(), n.claims.duties()...),
 		n.timeline.Duty(),
 		n.certificates().Duty(),
 		n.admission.Duty(),
--- a/internal/service/brnode/fronts.go
+++ b/internal/service/brnode/fronts.go
@@ -20,6 +20,7 @@
 	table := brtable.NewClient(client, platform.Table(), platform.Timeout())
 	objects := brobject.NewClient(client, platform.Objects(), platform.Timeout())
 	n.addSpread(client, table, objects)
+	n.addClaims(table)
 
 	dispatcher := n.requests.dispatcher(n)
 	callers, err := brcaller.NewHandler(n.clock, dispatcher, n.steering)
--- a/internal/service/brnode/node.go
+++ b/internal/service/brnode/node.go
@@ -47,6 +47,7 @@
 	writing   *brwriting.Writing
 	requests  requestDuties
 	shares    shares
+	claims    claims
 	spread    spread
 	keepers   map[string]*brcertificate.Keeper // by front; none for plain ones
 	connector *brentry.Connector
--- a/internal/service/brnode/requests.go
+++ b/internal/service/brnode/requests.go
@@ -48,7 +48,7 @@
 func (r requestDuties) dispatcher(n *Node) *brdispatch.Dispatcher {
 	backend := brbackend.NewClient(brbackend.NewTransport())
 	entry := brentry.NewForwarder(brbackend.NewClient(brbackend.NewTransportOver(n.connector.Dial)))
-	return brdispatch.New(n.clock, n.admission, n.revoking, n.balancing, r.retrying, r.forwarding, r.poisoning, backend, entry, n.timeline)
+	return brdispatch.New(n.settings.VM(), n.clock, n.admission, n.revoking, n.balancing, r.retrying, r.forwarding, r.poisoning, n.claims.claiming, backend, entry, n.timeline)
 }
 
 // front returns the peers' front with what concerns requests.
--- a/internal/service/brnode/stop.go
+++ b/internal/service/brnode/stop.go
@@ -32,7 +32,7 @@
 	steps := append([]brstop.Step{}, n.leavers...)
 	if cause == nil {
 		steps = append(steps, n.outlastLookups(), n.finishRequests(n.settings.Drain().Requests()))
-		steps = append(steps, n.giveBack())
+		steps = append(steps, n.keepClaims(), n.giveBack())
 	} else {
 		// Without its duties the VM can carry no request further.
 		steps = append(steps, n.finishRequests(closeTimeout))
