Let late writes of the property of claims end before its bubble

Cause: at 1000 schedules the property panicked after 337, since a write that the stand-in delays outlived its bubble; no promise was broken. Change: the bubble waits for it.

--- a/internal/service/brdispatch/claim_world_test.go
+++ b/internal/service/brdispatch/claim_world_test.go
@@ -41,6 +41,9 @@
 	sendLarge
 )
 
+// lateness is the time after which a late transaction takes effect.
+const lateness = 1700 * time.Millisecond
+
 // plan is what is drawn for a schedule.
 type plan struct {
 	calls   []plannedCall
@@ -104,6 +107,7 @@
 	for _, vm := range w.vms {
 		vm.group.Stop()
 	}
+	time.Sleep(lateness)
 }
 
 type quiet struct{}
@@ -179,7 +183,7 @@
 		return brtable.NewErrOutcomeUnknown(errBroken)
 	case commitLate:
 		go func() {
-			time.Sleep(1700 * time.Millisecond)
+			time.Sleep(lateness)
 			_ = w.table.Commit(context.WithoutCancel(ctx), transaction)
 		}()
 		return brtable.NewErrOutcomeUnknown(errBroken)
