--- a/internal/service/brnode/fronts.go
+++ b/internal/service/brnode/fronts.go
@@ -22,6 +22,7 @@
 	table := brtable.NewClient(client, platform.Table(), platform.Timeout())
 	objects := brobject.NewClient(client, platform.Objects(), platform.Timeout())
 	n.addSpread(client, table, objects)
+	n.addClaims(table)
 
 	dispatcher := n.requests.dispatcher(n)
 	measured := brdispatch.NewMeasured(n.clock, dispatcher)
