--- a/internal/duty/brbalancing/duty.go
+++ b/internal/duty/brbalancing/duty.go
@@ -14,6 +14,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"time"
 
 	"github.com/go-faster/errors"
 
