Vary the sites in the cost of a change

Cause: the capacity page held sites at 1,200. Change: a benchmark over 300, 600 and 1,200 sites and its slope on the page.

--- a/internal/decide/brcapacity/slope.go
+++ b/internal/decide/brcapacity/slope.go
@@ -39,6 +39,7 @@
 	slopeLocatorMemory  = Slope{"live heap of the look-up table", "Memory", "blocks", "locator-B", "decide/brlookup", 0}
 	slopeChange         = Slope{"a change of a block, applied and compiled", "Advance", "blocks", "ns/op", "decide/brlookup", 0}
 	slopeChangeVM       = Slope{"a change of a VM, applied and compiled", "AdvanceVM", "VMs", "ns/op", "decide/brlookup", 0}
+	slopeChangeSites    = Slope{"a change of a block at 10,000 blocks", "AdvanceSites", "sites", "ns/op", "decide/brlookup", 0}
 	slopeRebuild        = Slope{"the look-up table built anew", "Rebuild", "blocks", "ns/op", "decide/brlookup", 0}
 	slopeSnapshotBytes  = Slope{"an encoded snapshot", "Snapshot", "blocks", "encoded-B", "codec/brdocument", 0}
 	slopeSnapshotTime   = Slope{"a snapshot encoded and read", "Snapshot", "blocks", "ns/op", "codec/brdocument", 0}
@@ -69,7 +70,7 @@
 // Slopes returns all measured slopes.
 func Slopes() []Slope {
 	return []Slope{
-		slopeLocate, slopeSnapshotMemory, slopeLocatorMemory, slopeChange, slopeChangeVM, slopeRebuild,
+		slopeLocate, slopeSnapshotMemory, slopeLocatorMemory, slopeChange, slopeChangeVM, slopeChangeSites, slopeRebuild,
 		slopeSnapshotBytes, slopeSnapshotTime, slopeKeychain, slopeRenewals, slopeWitnesses, slopePlan,
 		slopeListTime, slopeListBytes, slopeRecord, slopeRecordMemory, slopeClaim,
 		slopeSharesBytes, slopeIdle, slopeSpread, slopeWritesDomains, slopeWritesVMs,
--- a/internal/decide/brlookup/locator_test.go
+++ b/internal/decide/brlookup/locator_test.go
@@ -78,25 +78,27 @@
 )
 
 func benchSnapshot(b *testing.B, blocks int) *brconfig.Snapshot {
-	return benchSnapshotOf(b, blocks, benchVMs)
+	return benchSnapshotOf(b, blocks, benchVMs, benchSites)
 }
 
-func benchSnapshotOf(b *testing.B, blocks, vms int) *brconfig.Snapshot {
-	changes := places(benchSites)
+func benchSnapshotOf(b *testing.B, blocks, vms, sites int) *brconfig.Snapshot {
+	changes := places(sites)
 	for i := range vms {
 		name := fmt.Sprintf("vm-%d", i)
-		changes = append(changes, brconfig.Put(brconfig.NewVM(brconfig.NewMeta(name), fmt.Sprintf("site-%d", i%benchSites), name, name)))
+		changes = append(changes, brconfig.Put(brconfig.NewVM(brconfig.NewMeta(name), fmt.Sprintf("site-%d", i%sites), name, name)))
 	}
 	for i := range blocks {
-		changes = append(changes, brconfig.Put(benchBlock(i, 0)))
+		changes = append(changes, brconfig.Put(benchBlockOf(i, 0, sites)))
 	}
 	return apply(b, brconfig.NewSnapshot(), changes)
 }
 
-func benchBlock(i, shift int) brconfig.Block {
+func benchBlock(i, shift int) brconfig.Block { return benchBlockOf(i, shift, benchSites) }
+
+func benchBlockOf(i, shift, sites int) brconfig.Block {
 	distances := []brconfig.Distance{}
 	for d := range benchNearest {
-		site := fmt.Sprintf("site-%d", (i*7+d*31+shift)%benchSites)
+		site := fmt.Sprintf("site-%d", (i*7+d*31+shift)%sites)
 		distances = append(distances, brconfig.NewDistance(site, time.Duration(d)*time.Millisecond))
 	}
 	prefix, _ := benchClient(i).Prefix(24)
@@ -127,7 +129,7 @@
 func BenchmarkAdvanceVM(b *testing.B) {
 	for _, vms := range []int{1000, 3200, benchVMs} {
 		b.Run(fmt.Sprintf("VMs=%d", vms), func(b *testing.B) {
-			snapshot := benchSnapshotOf(b, 10_000, vms)
+			snapshot := benchSnapshotOf(b, 10_000, vms, benchSites)
 			locator := brlookup.NewLocator(snapshot)
 			b.ReportAllocs()
 			b.ResetTimer()
@@ -140,6 +142,22 @@
 	}
 }
 
+func BenchmarkAdvanceSites(b *testing.B) {
+	const blocks = 10_000
+	for _, sites := range []int{300, 600, benchSites} {
+		b.Run(fmt.Sprintf("sites=%d", sites), func(b *testing.B) {
+			snapshot := benchSnapshotOf(b, blocks, benchVMs, sites)
+			locator := brlookup.NewLocator(snapshot)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				snapshot = apply(b, snapshot, []brconfig.Change{brconfig.Put(benchBlockOf(i%blocks, i, sites))})
+				locator = locator.Advance(snapshot)
+			}
+		})
+	}
+}
+
 func BenchmarkRebuild(b *testing.B) {
 	for _, blocks := range []int{1000, 10_000, 110_000} {
 		b.Run(fmt.Sprintf("blocks=%d", blocks), func(b *testing.B) {
