--- a/internal/decide/brcapacity/slope.go
+++ b/internal/decide/brcapacity/slope.go
@@ -39,6 +39,7 @@
 	slopeLocatorMemory  = Slope{"live heap of the look-up table", "Memory", "blocks", "locator-B", "decide/brlookup", 0}
 	slopeChange         = Slope{"a change of a block, applied and compiled", "Advance", "blocks", "ns/op", "decide/brlookup", 0}
 	slopeChangeVM       = Slope{"a change of a VM, applied and compiled", "AdvanceVM", "VMs", "ns/op", "decide/brlookup", 0}
+	slopeChangeSites    = Slope{"a change of a block at 10,000 blocks", "AdvanceSites", "sites", "ns/op", "decide/brlookup", 0}
 	slopeRebuild        = Slope{"the look-up table built anew", "Rebuild", "blocks", "ns/op", "decide/brlookup", 0}
 	slopeSnapshotBytes  = Slope{"an encoded snapshot", "Snapshot", "blocks", "encoded-B", "codec/brdocument", 0}
 	slopeSnapshotTime   = Slope{"a snapshot encoded and read", "Snapshot", "blocks", "ns/op", "codec/brdocument", 0}
@@ -53,6 +54,7 @@
 	slopeClaim          = Slope{"transactions for claims that wait together", "Claim", "claims", "transactions", "duty/brclaiming", 0}
 	slopeIdle           = Slope{"bodies of a VM without changes", "InForce", "VMs", "idle-B/s/VM", "duty/brfollowing", 50}
 	slopeSpread         = Slope{"bodies of a VM for a change", "InForce", "VMs", "change-B/VM", "duty/brfollowing", 50}
+	slopeSharesBytes    = Slope{"the row of shares of a failure domain", "Shares", "VMs", "row-B", "codec/brdocument", 0}
 	slopeWritesDomains  = Slope{"writes of the shares, 24 VMs", "TableWrites", "domains", "writes/s", "duty/brlending", 0}
 	slopeWritesVMs      = Slope{"writes of the shares, 2 domains", "TableWrites", "VMs", "writes/s", "duty/brlending", 0}
 )
@@ -61,17 +63,18 @@
 var (
 	slopeProcessIdle     = Slope{"processor time of an idle VM", "Fleet", "VMs", "idle-ms/s/VM", "tests", 0}
 	slopeProcessChanging = Slope{"processor time of a VM under changes", "Fleet", "VMs", "changing-ms/s/VM", "tests", 0}
+	slopeProcessRate     = Slope{"changes made meanwhile", "Fleet", "VMs", "changes/s", "tests", 0}
 	slopeProcessMemory   = Slope{"resident memory of a VM with a small configuration", "Fleet", "VMs", "resident-MB/VM", "tests", 0}
 )
 
 // Slopes returns all measured slopes.
 func Slopes() []Slope {
 	return []Slope{
-		slopeLocate, slopeSnapshotMemory, slopeLocatorMemory, slopeChange, slopeChangeVM, slopeRebuild,
+		slopeLocate, slopeSnapshotMemory, slopeLocatorMemory, slopeChange, slopeChangeVM, slopeChangeSites, slopeRebuild,
 		slopeSnapshotBytes, slopeSnapshotTime, slopeKeychain, slopeRenewals, slopeWitnesses, slopePlan,
 		slopeListTime, slopeListBytes, slopeRecord, slopeRecordMemory, slopeClaim,
-		slopeIdle, slopeSpread, slopeWritesDomains, slopeWritesVMs,
-		slopeProcessIdle, slopeProcessChanging, slopeProcessMemory,
+		slopeSharesBytes, slopeIdle, slopeSpread, slopeWritesDomains, slopeWritesVMs,
+		slopeProcessIdle, slopeProcessChanging, slopeProcessRate, slopeProcessMemory,
 	}
 }
 
@@ -100,7 +103,24 @@
 // Fit returns the line of a slope.
 func (m *Model) Fit(s Slope) Fit { return m.fits[s] }
 
-// at returns the cost of a slope at a size.
+// at returns the cost of a slope at a size. A cost that falls with its size
+// does not depend on it, and counts with its mean.
 func (m *Model) at(s Slope, size float64) Quantity {
+	if m.fits[s].slope < 0 {
+		return m.fits[s].Mean(s.name)
+	}
 	return m.fits[s].At(s.name, size)
 }
+
+// processChange returns the processor time of a change in a VM as a process.
+func (m *Model) processChange() Quantity {
+	mean := func(s Slope) float64 { return m.fits[s].Mean(s.name).value }
+	idle, changing, rate := mean(slopeProcessIdle), mean(slopeProcessChanging), mean(slopeProcessRate)
+	return Quantity{
+		name:   "a change taken over by all duties of a process",
+		value:  (changing - idle) / rate,
+		unit:   "ms",
+		origin: OriginMeasured,
+		detail: "(" + number(changing) + " − " + number(idle) + " ms/s) / " + number(rate) + " 1/s",
+	}
+}
