--- /dev/null
+++ b/tests/shell_bench_test.go
@@ -0,0 +1,170 @@
+package tests
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/service/brnode"
+	"bergamotroad.example/bergamotroad/internal/service/brsettings"
+	"bergamotroad.example/bergamotroad/internal/standin/brserver"
+)
+
+const (
+	benchSlots   = 8
+	benchService = time.Millisecond
+	// halfLoad is the number of callers that keep half of the slots busy.
+	halfLoad = benchSlots / 2
+	// warmRequests bring the VM's limit for the server up to its slots.
+	warmRequests = 500
+	settling     = 2 * time.Second
+	idlePeriod   = time.Second
+)
+
+func BenchmarkDirect(b *testing.B) {
+	server := httptest.NewServer(brserver.New(benchSlots, benchService))
+	defer server.Close()
+	measureCalls(b, server.URL+"/open/1")
+}
+
+func BenchmarkThroughVM(b *testing.B) {
+	server := httptest.NewServer(brserver.New(benchSlots, benchService))
+	defer server.Close()
+	measureCalls(b, startVM(b, server.Listener.Addr().String())+"/open/1")
+}
+
+// BenchmarkThroughVMNoService measures requests a second without service time.
+func BenchmarkThroughVMNoService(b *testing.B) {
+	server := httptest.NewServer(brserver.New(benchSlots, 0))
+	defer server.Close()
+	measureCalls(b, startVM(b, server.Listener.Addr().String())+"/open/1")
+}
+
+// BenchmarkIdleVM measures the processor time of a VM with its stand-in platform
+// while no caller sends anything.
+func BenchmarkIdleVM(b *testing.B) {
+	server := httptest.NewServer(brserver.New(benchSlots, 0))
+	defer server.Close()
+	startVM(b, server.Listener.Addr().String())
+	time.Sleep(settling)
+	b.ResetTimer()
+	before := processorTime(b)
+	for range b.N {
+		time.Sleep(idlePeriod)
+	}
+	used := processorTime(b) - before
+	b.ReportMetric(100*used.Seconds()/b.Elapsed().Seconds(), "%core")
+}
+
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	usage := syscall.Rusage{}
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &usage))
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// startVM runs a VM before one server and returns the base URL for callers.
+func startVM(b *testing.B, server string) string {
+	b.Helper()
+	platform := httptest.NewServer(newPlatform())
+	b.Cleanup(platform.Close)
+	callers, peers, operators := benchAddress(b), benchAddress(b), benchAddress(b)
+	settings, err := brsettings.Parse(fmt.Appendf(nil, `{
+	  "vm": "vm-1", "domain": "a", "drain": {"lookups": "0s"},
+	  "callers": {"address": %q, "plain": true}, "peers": {"address": %q, "plain": true},
+	  "operators": {"address": %q, "plain": true, "openAdministration": true},
+	  "platform": {"table": %q, "objects": %q, "vms": %q}}`,
+		callers, peers, operators, platform.URL, platform.URL+"/objects", platform.URL+"/vms"))
+	require.NoError(b, err)
+	node, err := brnode.New(settings, brclock.NewSystem(), log.New(io.Discard))
+	require.NoError(b, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- node.Run(ctx) }()
+	b.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	resources := fmt.Appendf(nil, `[
+	  {"kind": "region", "name": "r"},
+	  {"kind": "domain", "name": "a", "spec": {"region": "r"}},
+	  {"kind": "site", "name": "a", "spec": {"domain": "a"}},
+	  {"kind": "vm", "name": "vm-1", "spec": {"site": "a", "callerAddress": %q, "peerAddress": %q}},
+	  {"kind": "service", "name": "open"},
+	  {"kind": "server", "name": "open-1", "spec": {"service": "open", "domain": "a", "address": %q, "slots": %d}},
+	  {"kind": "route", "name": "open", "spec": {"service": "open", "pathPrefix": "/open", "repeat": "any", "open": true}}
+	]`, callers, peers, server, benchSlots)
+	response, err := http.Post("http://"+operators+"/v1/apply", "application/json", bytes.NewReader(resources))
+	require.NoError(b, err)
+	require.NoError(b, response.Body.Close())
+	require.Equal(b, http.StatusOK, response.StatusCode)
+	return "http://" + callers
+}
+
+func benchAddress(b *testing.B) string {
+	b.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// measureCalls sends b.N requests from as many callers as make half load.
+func measureCalls(b *testing.B, url string) {
+	b.Helper()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: halfLoad}}
+	defer client.CloseIdleConnections()
+	for range warmRequests {
+		_, _ = callOnce(client, url)
+	}
+	took := make([][]time.Duration, halfLoad)
+	failed := make([]int, halfLoad)
+	wait := sync.WaitGroup{}
+	b.ResetTimer()
+	for i := range halfLoad {
+		wait.Go(func() {
+			for n := i; n < b.N; n += halfLoad {
+				start := time.Now()
+				status, err := callOnce(client, url)
+				if err != nil || status != http.StatusOK {
+					failed[i]++
+				}
+				took[i] = append(took[i], time.Since(start))
+			}
+		})
+	}
+	wait.Wait()
+	b.StopTimer()
+	all := slices.Sorted(slices.Values(slices.Concat(took...)))
+	b.ReportMetric(float64(all[len(all)/2].Microseconds()), "p50-µs")
+	b.ReportMetric(float64(all[len(all)*99/100].Microseconds()), "p99-µs")
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+	total := 0
+	for _, count := range failed {
+		total += count
+	}
+	b.ReportMetric(float64(total), "failed")
+}
+
+func callOnce(client *http.Client, url string) (int, error) {
+	response, err := client.Get(url)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
+}
