--- a/internal/decide/bridempotent/sweep.go
+++ b/internal/decide/bridempotent/sweep.go
@@ -17,13 +17,13 @@
 	Retention = 24 * time.Hour
 	// Shards is the number of parts into which claims are divided, by the
 	// first digits of their identifiers.
-	Shards = 256
+	Shards = 4096
 	// sweepers is the number of VMs that clean up a shard.
 	sweepers = 2
 )
 
 // ShardPrefix returns the first digits of the identifiers of a shard.
-func ShardPrefix(shard int) string { return fmt.Sprintf("%02x", shard) }
+func ShardPrefix(shard int) string { return fmt.Sprintf("%03x", shard) }
 
 // Sweeps reports whether a VM is among the few that clean up a shard.
 func Sweeps(vm string, shard int, vms []string) bool {
--- /dev/null
+++ b/internal/duty/brclaiming/release_test.go
@@ -0,0 +1,98 @@
+package brclaiming
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bergamotroad.example/bergamotroad/internal/codec/brclaimrow"
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/core/brring"
+	"bergamotroad.example/bergamotroad/internal/decide/bridempotent"
+	"bergamotroad.example/bergamotroad/internal/model/brclaim"
+	"bergamotroad.example/bergamotroad/internal/standin/brplatform"
+)
+
+func newRelease() (*handler, *faultyTable, *brclock.Fake) {
+	clock := brclock.NewFake(start)
+	table := &faultyTable{Table: brplatform.NewTable(brplatform.NewFaults()), next: taken}
+	return &handler{table: table, clock: clock}, table, clock
+}
+
+func claimNow(h *handler, clock *brclock.Fake, nonce string) (brclaim.Claim, *brring.Queue[Ruling]) {
+	claim := brclaim.NewClaim("key", nonce, "same", "vm-1", clock.Now(), clock.Now().Add(time.Minute))
+	replies := brring.NewQueue[Ruling](1)
+	h.Handle(context.Background(), message{claim: claim, until: clock.Now().Add(3 * time.Second), reply: brring.NewReply(replies)})
+	h.Tick(context.Background(), clock.Now())
+	return claim, replies
+}
+
+func requireRun(t *testing.T, replies *brring.Queue[Ruling]) {
+	ruling, ok := replies.TryReceive()
+	require.True(t, ok)
+	require.Equal(t, bridempotent.Run, ruling.Judgement())
+}
+
+// A deletion that takes effect late does not delete the claim of the attempt
+// that came after.
+func TestLateDeletionSparesTheNextClaim(t *testing.T) {
+	ctx := context.Background()
+	h, table, clock := newRelease()
+	first, replies := claimNow(h, clock, "1")
+	requireRun(t, replies)
+	table.next = late
+	h.Handle(ctx, message{claim: first, releases: true})
+	h.Tick(ctx, clock.Now())
+	require.Len(t, table.held, 1)
+	clock.Advance(keepRetryDelay)
+	h.Tick(ctx, clock.Now())
+	require.Empty(t, h.releases)
+
+	second, replies := claimNow(h, clock, "2")
+	requireRun(t, replies)
+	table.land(ctx, 0)
+	row, err := table.Read(ctx, brclaimrow.Key(second.ID()))
+	require.NoError(t, err)
+	record, err := brclaimrow.Decode(row.Value())
+	require.NoError(t, err)
+	require.Equal(t, "2", record.Claim().Nonce())
+}
+
+// A claim that is released before it was written is never written.
+func TestReleasedClaimIsNotWritten(t *testing.T) {
+	ctx := context.Background()
+	h, table, clock := newRelease()
+	table.next = refused
+	claim, replies := claimNow(h, clock, "1")
+	h.Handle(ctx, message{claim: claim, releases: true})
+	ruling, ok := replies.TryReceive()
+	require.True(t, ok)
+	require.True(t, IsErrClaimUnavailable(ruling.err))
+	clock.Advance(time.Minute)
+	for range 3 {
+		h.Tick(ctx, clock.Now())
+	}
+	require.Zero(t, table.Commits())
+	_, due := h.Due(clock.Now())
+	require.False(t, due)
+}
+
+// Who waits for the table to have all records is answered when it has.
+func TestDrainWaitsForRecordsAndReleases(t *testing.T) {
+	ctx := context.Background()
+	h, table, clock := newRelease()
+	claim, _ := claimNow(h, clock, "1")
+	table.next = refused
+	h.Handle(ctx, message{record: brclaim.NewRecord(claim).WithState(brclaim.StateUnknown), keeps: true})
+	drained := brring.NewQueue[Ruling](1)
+	h.Handle(ctx, message{drains: true, reply: brring.NewReply(drained)})
+	h.Tick(ctx, clock.Now())
+	_, ok := drained.TryReceive()
+	require.False(t, ok)
+	clock.Advance(keepRetryDelay)
+	h.Tick(ctx, clock.Now())
+	_, ok = drained.TryReceive()
+	require.True(t, ok)
+}
--- a/internal/duty/brsweeping/duty.go
+++ b/internal/duty/brsweeping/duty.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -30,11 +31,13 @@
 )
 
 const (
-	// period is the time between two shards, so that all are scanned in about
-	// an hour.
-	period = 15 * time.Second
+	// period is the time between two shards, so that all are scanned in
+	// about two hours and a half.
+	period = 2 * time.Second
 	// maxDeletes bounds the rows of one transaction.
 	maxDeletes = 64
+	// maxTransactions bounds the transactions of one pass over a shard.
+	maxTransactions = 4
 )
 
 // Sweeping is the duty.
@@ -91,19 +94,22 @@
 	if err != nil {
 		return errors.Errorf("scan claims: %w", err)
 	}
-	transaction := brtable.NewTransaction()
-	for _, row := range rows {
+	old := slices.DeleteFunc(rows, func(row brtable.Row) bool {
 		record, err := brclaimrow.Decode(row.Value())
-		if err != nil || !bridempotent.Expired(record, now) {
-			continue
-		}
-		transaction = transaction.Require(row.Key(), row.Version()).Delete(row.Key())
-		if len(transaction.Writes()) == maxDeletes {
-			break
+		return err != nil || !bridempotent.Expired(record, now)
+	})
+	for batch := range slices.Chunk(old[:min(len(old), maxDeletes*maxTransactions)], maxDeletes) {
+		if err := h.delete(ctx, batch); err != nil {
+			return err
 		}
 	}
-	if len(transaction.Writes()) == 0 {
-		return nil
+	return nil
+}
+
+func (h *handler) delete(ctx context.Context, batch []brtable.Row) error {
+	transaction := brtable.NewTransaction()
+	for _, row := range batch {
+		transaction = transaction.Require(row.Key(), row.Version()).Delete(row.Key())
 	}
 	if err := h.table.Commit(ctx, transaction); err != nil && !brtable.IsErrPrecondition(err) {
 		return errors.Errorf("delete old claims: %w", err)
--- a/tests/script_test.go
+++ b/tests/script_test.go
@@ -72,6 +72,7 @@
 	mux.Handle("/v3/kv/", brplatform.NewTable(faults))
 	mux.Handle("/objects/", http.StripPrefix("/objects", brplatform.NewObjects(faults)))
 	mux.Handle("/vms", brplatform.NewVMs(faults))
+	mux.HandleFunc("POST /standin/faults", faultSwitch(faults))
 	return mux
 }
 
@@ -90,7 +91,7 @@
 	flags := flag.NewFlagSet("standin-server", flag.ExitOnError)
 	service := flags.Duration("service", time.Millisecond, "time of one request")
 	_ = flags.Parse(os.Args[1:])
-	serveUntilSignal(flags.Arg(0), mortal(brserver.New(3, *service)))
+	serveUntilSignal(flags.Arg(0), withRuns(mortal(brserver.New(3, *service))))
 }
 
 func serveUntilSignal(address string, handler http.Handler) {
@@ -109,22 +110,39 @@
 	flags := flag.NewFlagSet("call", flag.ExitOnError)
 	key := flags.String("key", "", "key of the caller")
 	body := flags.String("body", "", "file with the body")
+	idempotencyKey := flags.String("idempotency", "", "idempotency key")
+	until := flags.String("until", "", "text for which the call is repeated")
 	_ = flags.Parse(os.Args[1:])
-	request, err := http.NewRequest(flags.Arg(0), flags.Arg(1), bodyOf(*body))
+	output := callOnce(flags, *key, *idempotencyKey, *body)
+	for end := time.Now().Add(waitLimit); !strings.Contains(output, *until) && time.Now().Before(end); {
+		time.Sleep(100 * time.Millisecond)
+		output = callOnce(flags, *key, *idempotencyKey, *body)
+	}
+	fmt.Print(output)
+}
+
+// callOnce returns status, fields and body of the answer.
+func callOnce(flags *flag.FlagSet, key, idempotencyKey, body string) string {
+	request, err := http.NewRequest(flags.Arg(0), flags.Arg(1), bodyOf(body))
 	if err != nil {
 		fail(err)
 	}
-	if *key != "" {
-		request.Header.Set("Authorization", "Bearer "+*key)
+	if idempotencyKey != "" {
+		request.Header.Set("Idempotency-Key", idempotencyKey)
+	}
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		fail(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	fmt.Println("status", response.StatusCode)
-	_ = response.Header.Write(os.Stdout)
-	_, _ = io.Copy(os.Stdout, response.Body)
+	output := &strings.Builder{}
+	_, _ = fmt.Fprintln(output, "status", response.StatusCode)
+	_ = response.Header.Write(output)
+	_, _ = io.Copy(output, response.Body)
+	return output.String()
 }
 
 func bodyOf(path string) io.Reader {
--- /dev/null
+++ b/tests/standin_test.go
@@ -0,0 +1,67 @@
+package tests
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"bergamotroad.example/bergamotroad/internal/standin/brplatform"
+)
+
+const (
+	pathRuns = "/standin/ran"
+	// slowTime is how long a request runs whose path ends in slow.
+	slowTime = 2 * time.Second
+)
+
+// faultSwitch sets the faults of the platform: ?down=BOOL or ?lose=COUNT.
+func faultSwitch(faults *brplatform.Faults) http.HandlerFunc {
+	return func(_ http.ResponseWriter, r *http.Request) {
+		if down, err := strconv.ParseBool(r.URL.Query().Get("down")); err == nil {
+			faults.SetDown(down)
+		}
+		if count, err := strconv.Atoi(r.URL.Query().Get("lose")); err == nil {
+			faults.LoseAnswers(count)
+		}
+	}
+}
+
+// withRuns counts the requests that ran by their path. GET /standin/ran/PATH
+// answers 404 for none, 200 for one and 409 for more.
+func withRuns(next http.Handler) http.Handler {
+	var mutex sync.Mutex
+	runs := map[string]int{}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		path, asked := strings.CutPrefix(r.URL.Path, pathRuns)
+		if !asked {
+			path = r.URL.Path
+		}
+		mutex.Lock()
+		if !asked {
+			runs[path]++
+		}
+		count := runs[path]
+		mutex.Unlock()
+		if asked {
+			w.WriteHeader(statusOfRuns(count))
+			return
+		}
+		if strings.HasSuffix(path, "/slow") {
+			time.Sleep(slowTime)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func statusOfRuns(count int) int {
+	switch count {
+	case 0:
+		return http.StatusNotFound
+	case 1:
+		return http.StatusOK
+	default:
+		return http.StatusConflict
+	}
+}
