Test requests whose key or body can't be claimed

Cause: the refusals of invalid keys and large bodies had no test of their own. Change: a table of five such requests, none of which reaches a server.

--- /dev/null
+++ b/internal/service/brdispatch/claim_body_test.go
@@ -0,0 +1,44 @@
+package brdispatch_test
+
+import (
+	"net/netip"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bergamotroad.example/bergamotroad/internal/model/brmessage"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+)
+
+// A request whose key or body can't be claimed does not run.
+func TestUnclaimableRequestDoesNotRun(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		keys   []string
+		body   int // bytes
+		reason brrequest.Reason
+	}{
+		{"empty key", []string{""}, 1, brrequest.ReasonIdempotencyKeyInvalid},
+		{"long key", []string{strings.Repeat("k", 129)}, 1, brrequest.ReasonIdempotencyKeyInvalid},
+		{"space in key", []string{"a b"}, 1, brrequest.ReasonIdempotencyKeyInvalid},
+		{"two keys", []string{"a", "b"}, 1, brrequest.ReasonIdempotencyKeyInvalid},
+		{"large body", []string{strings.Repeat("k", 128)}, 1<<20 + 1, brrequest.ReasonBodyTooLarge},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newClaimWorld(t.Context(), plan{crashes: []int{0}, cuts: []time.Duration{0}, commits: []int{commitTaken}, sends: []int{sendWhole}})
+				fields := brmessage.NewFields(map[string][]string{"Idempotency-Key": c.keys})
+				call := brmessage.NewCall("POST", "/x", fields, strings.NewReader(strings.Repeat("x", c.body)), -1)
+				request := brrequest.New("request-0", "POST", "/taller-norte", netip.Addr{})
+				result := w.vms[0].dispatcher.Dispatch(t.Context(), request, call, &memoryWriter{})
+				require.Equal(t, brrequest.FateNotRun, result.Fate())
+				require.Equal(t, c.reason, result.Reason())
+				require.Zero(t, w.sends)
+				w.stop()
+			})
+		})
+	}
+}
