--- a/internal/duty/brclaiming/bench_test.go
+++ b/internal/duty/brclaiming/bench_test.go
@@ -13,8 +13,8 @@
 	"bergamotroad.example/bergamotroad/internal/standin/brplatform"
 )
 
-// BenchmarkClaim claims requests that wait together and keeps their answers.
-func BenchmarkClaim(b *testing.B) {
+// BenchmarkClaimAndKeep claims requests that wait together and keeps their answers.
+func BenchmarkClaimAndKeep(b *testing.B) {
 	for _, claims := range []int{1, 4, 16, 64, 256} {
 		b.Run(fmt.Sprint("claims=", claims), func(b *testing.B) { claimTogether(b, claims) })
 	}
--- a/tests/shell_bench_test.go
+++ b/tests/shell_bench_test.go
@@ -128,7 +128,7 @@
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: halfLoad}}
 	defer client.CloseIdleConnections()
 	for range warmRequests {
-		_, _ = callOnce(client, url)
+		_, _ = getOnce(client, url)
 	}
 	took := make([][]time.Duration, halfLoad)
 	failed := make([]int, halfLoad)
@@ -138,7 +138,7 @@
 		wait.Go(func() {
 			for n := i; n < b.N; n += halfLoad {
 				start := time.Now()
-				status, err := callOnce(client, url)
+				status, err := getOnce(client, url)
 				if err != nil || status != http.StatusOK {
 					failed[i]++
 				}
@@ -159,7 +159,7 @@
 	b.ReportMetric(float64(total), "failed")
 }
 
-func callOnce(client *http.Client, url string) (int, error) {
+func getOnce(client *http.Client, url string) (int, error) {
 	response, err := client.Get(url)
 	if err != nil {
 		return 0, err
