--- a/internal/duty/brmoving/duty.go
+++ b/internal/duty/brmoving/duty.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/google/uuid"
 
 	"bergamotroad.example/bergamotroad/internal/core/brclock"
 	"bergamotroad.example/bergamotroad/internal/core/brduty"
@@ -35,9 +36,9 @@
 
 // Recorder writes a proposal into the configuration.
 type Recorder interface {
-	// RecordMove reports whether this call wrote the proposal. It writes nothing
-	// where the move is no longer as it was.
-	RecordMove(ctx context.Context, vm string, proposal brmove.Proposal) (bool, error)
+	// RecordMove reports whether the operation wrote the proposal, now or in an
+	// earlier call. It writes nothing where the move is no longer as it was.
+	RecordMove(ctx context.Context, vm, operation string, proposal brmove.Proposal) (bool, error)
 }
 
 // Moving is the duty.
@@ -48,7 +49,7 @@
 
 // New returns the duty of a VM.
 func New(vm string, clock brclock.Clock, recorder Recorder, events brevent.Recorder, logger *log.Logger) *Moving {
-	h := &handler{vm: vm, clock: clock, recorder: recorder, events: events, logger: logger, due: map[key]time.Time{}, written: map[key]bool{}, unsure: map[key]brmove.Proposal{}}
+	h := &handler{vm: vm, clock: clock, recorder: recorder, events: events, logger: logger, due: map[key]time.Time{}, written: map[key]bool{}, unsure: map[key]brmove.Proposal{}, operations: map[key]string{}}
 	return &Moving{handler: h, duty: brduty.New[struct{}, []brmove.Proposal]("moving", h, clock, brduty.WithPeriod(tickPeriod))}
 }
 
@@ -71,15 +72,16 @@
 }
 
 type handler struct {
-	vm        string
-	clock     brclock.Clock
-	recorder  Recorder
-	events    brevent.Recorder
-	logger    *log.Logger
-	proposals []brmove.Proposal
-	due       map[key]time.Time
-	written   map[key]bool            // and reported, while still proposed
-	unsure    map[key]brmove.Proposal // whose outcome is unknown
+	vm         string
+	clock      brclock.Clock
+	recorder   Recorder
+	events     brevent.Recorder
+	logger     *log.Logger
+	proposals  []brmove.Proposal
+	due        map[key]time.Time
+	written    map[key]bool            // and reported, while still proposed
+	unsure     map[key]brmove.Proposal // whose outcome is unknown
+	operations map[key]string          // of the unsure proposals
 }
 
 // Handle does nothing: the duty takes no messages.
@@ -141,13 +143,19 @@
 }
 
 func (h *handler) write(ctx context.Context, k key, p brmove.Proposal) {
-	written, err := h.recorder.RecordMove(ctx, h.vm, p)
+	operation, ok := h.operations[k]
+	if !ok {
+		operation = uuid.NewString()
+	}
+	written, err := h.recorder.RecordMove(ctx, h.vm, operation, p)
 	if err != nil {
+		h.operations[k] = operation
 		h.unsure[k] = p
 		h.logger.Warn("record of move failed", "move", p.Name(), "error", err)
 		return
 	}
 	delete(h.unsure, k)
+	delete(h.operations, k)
 	if !written {
 		return
 	}
--- a/internal/duty/brmoving/duty_test.go
+++ b/internal/duty/brmoving/duty_test.go
@@ -29,19 +29,19 @@
 }
 
 // RecordMove writes as the administration does.
-func (r *record) RecordMove(_ context.Context, vm string, p brmove.Proposal) (bool, error) {
+func (r *record) RecordMove(_ context.Context, vm, operation string, p brmove.Proposal) (bool, error) {
 	fault := r.fault()
 	if fault == 1 {
 		return false, errLost
 	}
 	if next, ok := p.Apply(r.now, r.move).Get(); ok {
 		r.move = next
-		r.author = vm
+		r.author = vm + operation
 	}
 	if fault == 2 {
 		return false, errLost
 	}
-	return r.author == vm && r.move.State() == p.State(), nil
+	return r.author == vm+operation && r.move.State() == p.State(), nil
 }
 
 // events keeps what is recorded.
--- a/internal/service/bradministration/move.go
+++ b/internal/service/bradministration/move.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 
 	"github.com/go-faster/errors"
 
@@ -14,11 +13,10 @@
 // errMoved says that a move is not as it was when its next record was proposed.
 var errMoved = errors.New("move has gone on")
 
-// RecordMove writes the next record of a move and reports whether this call
-// did so. It writes nothing where the move is no longer as it was. The
-// identifier tells apart the writes of VMs: a write whose outcome was lost is
-// found again by the VM that made it, and by no other.
-func (a *Administration) RecordMove(ctx context.Context, vm string, proposal brmove.Proposal) (bool, error) {
+// RecordMove writes the next record of a move and reports whether the operation
+// did so. It writes nothing where the move is no longer as it was. A write whose
+// outcome was lost is found again by the identifier of its operation.
+func (a *Administration) RecordMove(ctx context.Context, vm, id string, proposal brmove.Proposal) (bool, error) {
 	edit := func(snapshot *brconfig.Snapshot) ([]brconfig.Change, error) {
 		held, ok := snapshot.Moves().Get(proposal.Name()).Get()
 		if !ok {
@@ -30,8 +28,6 @@
 		}
 		return []brconfig.Change{brconfig.Put(next)}, nil
 	}
-	base := proposal.Base()
-	id := fmt.Sprintf("move/%s/%d/%s/%d/%s", proposal.Name(), base.By().Unix(), proposal.State(), proposal.Step(), vm)
 	operation := NewOperation(brprincipal.New(vm, "", brconfig.RoleAdministrator), edit).WithID(id, id)
 	operation.internal = true
 	operation.withoutWitness = true
