Pace what crosses between regions, both ways

Cause: the duty that paces links was not on the path: a large extract forwarded to another region could take the whole link. Change: the body of a forwarded request is paced by the VM that forwards it, the answer by the VM that received it, towards the other's region. Conclusion: each VM keeps to its share of a link on the sender's side.

--- a/internal/duty/brpacing/duty.go
+++ b/internal/duty/brpacing/duty.go
@@ -8,7 +8,7 @@
 //
 //	pacing := brpacing.New("montevideo-a", clock)
 //	group.Start(pacing.Duty())
-//	err := pacing.Wait(ctx, "este", request.ID(), int64(len(chunk)))
+//	err := pacing.Wait(ctx, "este-a", request.ID(), int64(len(chunk)))
 package brpacing
 
 import (
@@ -33,7 +33,7 @@
 }
 
 type message struct {
-	region string
+	domain string
 	stream string
 	bytes  int64
 	reply  brring.Reply[answer]
@@ -61,14 +61,14 @@
 func (p *Pacing) Snapshots() *brring.Latest[*brconfig.Snapshot] { return p.duty.Snapshots() }
 
 // Wait returns when up to brlink.MaxChunk bytes of a stream may be sent to a
-// region. A region to which no link is configured is not paced. It returns
+// failure domain. A region to which no link is configured is not paced. It returns
 // brring.ErrFull or brfair.ErrFull where too many chunks wait.
-func (p *Pacing) Wait(ctx context.Context, region, stream string, bytes int64) error {
+func (p *Pacing) Wait(ctx context.Context, domain, stream string, bytes int64) error {
 	got, err := brring.Ask(ctx, p.duty.Queue(), p.answers, func(reply brring.Reply[answer]) message {
-		return message{region: region, stream: stream, bytes: bytes, reply: reply}
+		return message{domain: domain, stream: stream, bytes: bytes, reply: reply}
 	})
 	if err != nil {
-		return errors.Errorf("wait for link to %s: %w", region, err)
+		return errors.Errorf("wait for link to %s: %w", domain, err)
 	}
 	return got.refused
 }
@@ -79,14 +79,15 @@
 }
 
 type handler struct {
-	domain string
-	clock  brclock.Clock
-	pacers map[string]*brlink.Pacer[brring.Reply[answer]] // by receiving region
+	domain  string
+	clock   brclock.Clock
+	regions map[string]string                              // by failure domain
+	pacers  map[string]*brlink.Pacer[brring.Reply[answer]] // by receiving region
 }
 
 // Handle takes one chunk.
 func (h *handler) Handle(_ context.Context, m message) {
-	pacer, ok := h.pacers[m.region]
+	pacer, ok := h.pacers[h.regions[m.domain]]
 	if !ok {
 		m.reply.Answer(answer{})
 		return
@@ -103,6 +104,7 @@
 	region := regionOf(snapshot, h.domain)
 	vms := max(vmsIn(snapshot, region), 1)
 	now := h.clock.Now()
+	h.regions = regionsOf(snapshot)
 	for link := range snapshot.Links().All() {
 		if link.From() != region {
 			continue
@@ -141,6 +143,14 @@
 	}
 }
 
+func regionsOf(snapshot *brconfig.Snapshot) map[string]string {
+	regions := make(map[string]string, snapshot.Domains().Len())
+	for domain := range snapshot.Domains().All() {
+		regions[domain.Name()] = domain.Region()
+	}
+	return regions
+}
+
 func regionOf(snapshot *brconfig.Snapshot, domain string) string {
 	d, _ := snapshot.Domains().Get(domain).Get()
 	return d.Region()
--- a/internal/duty/brpacing/duty_test.go
+++ b/internal/duty/brpacing/duty_test.go
@@ -29,6 +29,7 @@
 		brconfig.NewRegion(meta("este")),
 		brconfig.NewDomain(meta("montevideo-a"), "montevideo"),
 		brconfig.NewDomain(meta("montevideo-b"), "montevideo"),
+		brconfig.NewDomain(meta("este-a"), "este"),
 		brconfig.NewSite(meta("site-a"), "montevideo-a"),
 		brconfig.NewSite(meta("site-b"), "montevideo-b"),
 		brconfig.NewVM(meta("vm-1"), "site-a", "127.0.0.1:1", "127.0.0.1:2"),
@@ -44,7 +45,7 @@
 	return snapshot
 }
 
-// A VM sends at its half of the link, and to a region without link unpaced.
+// A VM sends at its half of the link, and within its region unpaced.
 func TestVMSendsAtItsShareOfTheLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		clock := brclock.NewSystem()
@@ -57,11 +58,11 @@
 		synctest.Wait()
 		started := time.Now()
 		for range 50 {
-			require.NoError(t, pacing.Wait(t.Context(), "este", "extract", brlink.MaxChunk))
+			require.NoError(t, pacing.Wait(t.Context(), "este-a", "extract", brlink.MaxChunk))
 		}
 		require.InDelta(t, 5, time.Since(started).Seconds(), 0.001)
 		for range 50 {
-			require.NoError(t, pacing.Wait(t.Context(), "litoral", "extract", brlink.MaxChunk))
+			require.NoError(t, pacing.Wait(t.Context(), "montevideo-b", "extract", brlink.MaxChunk))
 		}
 		require.InDelta(t, 5, time.Since(started).Seconds(), 0.001)
 	})
--- a/internal/peer/brentry/forward.go
+++ b/internal/peer/brentry/forward.go
@@ -36,22 +36,27 @@
 	fieldRepeat       = ownPrefix + "Repeat"
 	fieldRouteTimeout = ownPrefix + "Route-Timeout"
 	fieldGeneration   = ownPrefix + "Generation"
+	fieldDomain       = ownPrefix + "Domain"
 )
 
 // Forwarder sends requests to other entry VMs.
 type Forwarder struct {
 	client *brbackend.Client
+	domain string
+	pacing Pacing
 }
 
-// NewForwarder returns a forwarder over a client.
-func NewForwarder(client *brbackend.Client) *Forwarder {
-	return &Forwarder{client: client}
+// NewForwarder returns the forwarder of a VM of a failure domain over a client.
+func NewForwarder(client *brbackend.Client, domain string, pacing Pacing) *Forwarder {
+	return &Forwarder{client: client, domain: domain, pacing: pacing}
 }
 
 // Forward sends a request once. It returns brdispatch.ErrRefused where the
 // other VM says that the request did not run, brbackend.ErrNotSent where no
 // byte can have reached it, and brbackend.ErrOutcomeUnknown otherwise.
 func (f *Forwarder) Forward(ctx context.Context, target brrequest.Target, request brrequest.Request, verdict brrequest.Verdict, call brmessage.Call) (*brmessage.Answer, error) {
+	call.Fields().Set(fieldDomain, f.domain)
+	call = paced(call, stream{context: ctx, pacing: f.pacing, domain: target.Domain(), name: request.ID()})
 	response, err := f.client.Exchange(ctx, target.Address(), forwardedCall(request, verdict, call))
 	if err != nil {
 		return nil, errors.Errorf("forward to %s: %w", target.VM(), err)
@@ -91,11 +96,12 @@
 type forwardServer struct {
 	clock    brclock.Clock
 	receiver Receiver
+	pacing   Pacing
 }
 
 // WithForwarding returns the peers' front that also takes forwarded requests.
-func WithForwarding(next http.Handler, clock brclock.Clock, receiver Receiver) http.Handler {
-	s := &forwardServer{clock: clock, receiver: receiver}
+func WithForwarding(next http.Handler, clock brclock.Clock, receiver Receiver, pacing Pacing) http.Handler {
+	s := &forwardServer{clock: clock, receiver: receiver, pacing: pacing}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasPrefix(r.URL.Path, forwardPrefix+"/") {
 			s.serve(w, r)
@@ -113,7 +119,11 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	result := s.receiver.Receive(r.Context(), request, verdict, callOf(r), &forwardWriter{response: w})
+	writer := &pacedWriter{
+		Writer: &forwardWriter{response: w},
+		stream: stream{context: r.Context(), pacing: s.pacing, domain: r.Header.Get(fieldDomain), name: request.ID()},
+	}
+	result := s.receiver.Receive(r.Context(), request, verdict, callOf(r), writer)
 	if !result.Started() {
 		writeRefusal(w, result)
 		return
--- a/internal/peer/brentry/forward_test.go
+++ b/internal/peer/brentry/forward_test.go
@@ -32,6 +32,11 @@
 	receive func(ctx context.Context, writer brdispatch.Writer) brdispatch.Result
 }
 
+// unpaced is a link that bears everything.
+type unpaced struct{}
+
+func (unpaced) Wait(context.Context, string, string, int64) error { return nil }
+
 func (r *receiver) Receive(ctx context.Context, request brrequest.Request, verdict brrequest.Verdict, call brmessage.Call, writer brdispatch.Writer) brdispatch.Result {
 	r.request = request
 	r.verdict = verdict
@@ -44,7 +49,7 @@
 
 func forward(t *testing.T, r *receiver) (*brmessage.Answer, error) {
 	t.Helper()
-	front := httptest.NewServer(brentry.WithForwarding(http.NotFoundHandler(), brclock.NewSystem(), r))
+	front := httptest.NewServer(brentry.WithForwarding(http.NotFoundHandler(), brclock.NewSystem(), r, unpaced{}))
 	t.Cleanup(front.Close)
 	return forwardTo(t, strings.TrimPrefix(front.URL, "http://"))
 }
@@ -56,7 +61,7 @@
 	verdict := brrequest.Admit("taller-norte", route, 7).WithWeight(3)
 	fields := brmessage.NewFields(map[string][]string{"Bergamotroad-Timeout": {"5000"}, "Accept": {"text/plain"}})
 	call := brmessage.NewCall("POST", "/a%2Fb//c?x=1", fields, strings.NewReader("body"), 4)
-	forwarder := brentry.NewForwarder(brbackend.NewClient(brbackend.NewTransport()))
+	forwarder := brentry.NewForwarder(brbackend.NewClient(brbackend.NewTransport()), "este-a", unpaced{})
 	return forwarder.Forward(t.Context(), brrequest.NewTarget("este-b", "vm-2", address), brrequest.New("id-1", "POST", "/", netip.Addr{}), verdict, call)
 }
 
--- a/internal/service/brnode/requests.go
+++ b/internal/service/brnode/requests.go
@@ -6,6 +6,7 @@
 	"bergamotroad.example/bergamotroad/internal/core/brclock"
 	"bergamotroad.example/bergamotroad/internal/core/brduty"
 	"bergamotroad.example/bergamotroad/internal/duty/brforwarding"
+	"bergamotroad.example/bergamotroad/internal/duty/brpacing"
 	"bergamotroad.example/bergamotroad/internal/duty/brpoisoning"
 	"bergamotroad.example/bergamotroad/internal/duty/brretrying"
 	"bergamotroad.example/bergamotroad/internal/duty/brspreading"
@@ -23,6 +24,7 @@
 	forwarding *brforwarding.Forwarding
 	telling    *brtelling.Telling
 	poisoning  *brpoisoning.Poisoning
+	pacing     *brpacing.Pacing
 }
 
 func newRequestDuties(settings brsettings.Settings, clock brclock.Clock, events brevent.Recorder, connector *brentry.Connector) requestDuties {
@@ -31,6 +33,7 @@
 		retrying:   brretrying.New(clock),
 		forwarding: brforwarding.New(settings.Domain(), clock),
 		telling:    telling,
+		pacing:     brpacing.New(settings.Domain(), clock),
 		poisoning:  brpoisoning.New(clock, events, telling),
 	}
 }
@@ -38,20 +41,21 @@
 func (r requestDuties) subscribe(spreading *brspreading.Spreading) {
 	spreading.Subscribe(r.retrying.Snapshots())
 	spreading.Subscribe(r.forwarding.Snapshots())
+	spreading.Subscribe(r.pacing.Snapshots())
 	spreading.Subscribe(r.telling.Snapshots())
 }
 
 func (r requestDuties) duties() []brduty.Runner {
-	return []brduty.Runner{r.retrying.Duty(), r.forwarding.Duty(), r.telling.Duty(), r.poisoning.Duty()}
+	return []brduty.Runner{r.retrying.Duty(), r.forwarding.Duty(), r.telling.Duty(), r.poisoning.Duty(), r.pacing.Duty()}
 }
 
 func (r requestDuties) dispatcher(n *Node) *brdispatch.Dispatcher {
 	backend := brbackend.NewClient(brbackend.NewTransport())
-	entry := brentry.NewForwarder(brbackend.NewClient(brbackend.NewTransportOver(n.connector.Dial)))
+	entry := brentry.NewForwarder(brbackend.NewClient(brbackend.NewTransportOver(n.connector.Dial)), n.settings.Domain(), r.pacing)
 	return brdispatch.New(n.settings.VM(), n.clock, n.admission, n.revoking, n.balancing, r.retrying, r.forwarding, r.poisoning, n.claims.claiming, backend, entry, n.timeline)
 }
 
 // front returns the peers' front with what concerns requests.
 func (r requestDuties) front(next http.Handler, clock brclock.Clock, receiver brentry.Receiver) http.Handler {
-	return brentry.WithForwarding(brentry.WithPoison(next, r.poisoning), clock, receiver)
+	return brentry.WithForwarding(brentry.WithPoison(next, r.poisoning), clock, receiver, r.pacing)
 }
