--- a/internal/decide/brobservation/view.go
+++ b/internal/decide/brobservation/view.go
@@ -231,7 +231,7 @@
 // Isolated reports whether this VM has heard nobody for a while. A VM that
 // knows one other only can't tell which of both is cut off.
 func (v *View) Isolated(now time.Time) bool {
-	return len(v.records) > 1 && now.Sub(v.lastHeard) > silenceTime
+	return len(v.near)+len(v.far) > 1 && now.Sub(v.lastHeard) > silenceTime
 }
 
 func (v *View) overdue(now time.Time, r *record) bool {
