--- a/internal/service/brnode/metrics.go
+++ b/internal/service/brnode/metrics.go
@@ -56,6 +56,7 @@
 	registry.MustRegister(collectors.NewGoCollector())
 	registry.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	registry.MustRegister(n.spreading.Collectors()...)
+	registry.MustRegister(n.spread.membership.Collectors()...)
 	registry.MustRegister(n.steering.Collectors()...)
 	registry.MustRegister(n.observer.collectors()...)
 	registry.MustRegister(&collector{node: n})
