Let witnesses read the table; prove the outage and the kill with processes

Cause: the first run of a scenario with three processes refused keyed requests 8 s into an outage of the platform: only two VMs of a failure domain poll the table, and a witness among the others never attests. Change: witnesses poll each 2 s, whatever their rank. The scenario kills a VM too, and look-ups stop naming it. Conclusion: keyed traffic outlives an outage of the platform with real processes; membership drops a killed VM.

--- a/internal/duty/brpolling/duty.go
+++ b/internal/duty/brpolling/duty.go
@@ -1,8 +1,8 @@
 // Package brpolling provides the duty that reads the newest configuration from
 // the platform.
 //
-// A few VMs of each failure domain read the head row once a second; the others
-// only when their knowledge gets old. Where the head is newer than what the VM
+// A few VMs of each failure domain read the head row once a second, witnesses
+// each two seconds; the others only when their knowledge gets old. Where the head is newer than what the VM
 // holds, the duty reads the deltas in between from the object store, newest
 // first along the chain of predecessors, checks their digests and offers them
 // to the duty that holds the configuration. A VM that is far behind takes the
@@ -18,6 +18,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -28,6 +29,7 @@
 	"bergamotroad.example/bergamotroad/internal/core/brduty"
 	"bergamotroad.example/bergamotroad/internal/core/brring"
 	"bergamotroad.example/bergamotroad/internal/decide/brspread"
+	"bergamotroad.example/bergamotroad/internal/decide/brwitness"
 	"bergamotroad.example/bergamotroad/internal/duty/brspreading"
 	"bergamotroad.example/bergamotroad/internal/model/brmember"
 	"bergamotroad.example/bergamotroad/internal/peer/brobject"
@@ -40,6 +42,8 @@
 	// firstPollSpread bounds the random time before a VM's first poll, so that
 	// a failure domain that starts at once does not read at once.
 	firstPollSpread = time.Second
+	// witnessPeriod is the time between two polls of a witness.
+	witnessPeriod = 2 * time.Second
 )
 
 // Polling is the duty.
@@ -84,6 +88,8 @@
 	logger    *log.Logger
 	plan      brspread.Plan
 	failures  int
+	witness   bool
+	chosenAt  uint64 // generation for which the witnesses were chosen
 	last      time.Time
 }
 
@@ -102,7 +108,8 @@
 		return
 	}
 	knowledge := brspread.NewKnowledge(now.Sub(state.Confirmed()), h.failures)
-	if !h.plan.Polls(knowledge, now.Sub(h.last)) {
+	since := now.Sub(h.last)
+	if !h.plan.Polls(knowledge, since) && !h.witnesses(state, since) {
 		return
 	}
 	h.last = now
@@ -111,6 +118,16 @@
 	}
 }
 
+// witnesses reports whether this VM polls as a witness: one that has not read
+// the table itself attests nothing.
+func (h *handler) witnesses(state brspreading.State, since time.Duration) bool {
+	if generation := state.Head().Generation(); generation != h.chosenAt {
+		h.chosenAt = generation
+		h.witness = slices.Contains(brwitness.Choose(state.Snapshot()), h.vm)
+	}
+	return h.witness && since >= witnessPeriod
+}
+
 func (h *handler) poll(ctx context.Context, state brspreading.State) error {
 	before := h.clock.Now()
 	head, err := h.readHead(ctx)
--- a/tests/script_test.go
+++ b/tests/script_test.go
@@ -45,9 +45,10 @@
 		Dir:   "testdata/script",
 		Setup: setPorts,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"waitfor": waitFor,
-			"expand":  expand,
-			"readenv": readEnv,
+			"waitfor":     waitFor,
+			"expand":      expand,
+			"waitwithout": waitWithout,
+			"readenv":     readEnv,
 		},
 	})
 }
--- a/tests/standin_test.go
+++ b/tests/standin_test.go
@@ -1,12 +1,15 @@
 package tests
 
 import (
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/rogpeppe/go-internal/testscript"
+
 	"bergamotroad.example/bergamotroad/internal/standin/brplatform"
 )
 
@@ -65,3 +68,24 @@
 		return http.StatusConflict
 	}
 }
+
+// waitWithout waits until the answer of a URL lacks a text: waitwithout URL TEXT.
+func waitWithout(script *testscript.TestScript, negated bool, arguments []string) {
+	if negated || len(arguments) != 2 {
+		script.Fatalf("usage: waitwithout URL TEXT")
+	}
+	deadline := time.Now().Add(waitLimit)
+	last := "no answer"
+	for time.Now().Before(deadline) {
+		if response, err := http.Get(arguments[0]); err == nil {
+			body, _ := io.ReadAll(response.Body)
+			_ = response.Body.Close()
+			last = string(body)
+			if response.StatusCode == http.StatusOK && !strings.Contains(last, arguments[1]) {
+				return
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	script.Fatalf("%s still says %s", arguments[0], last)
+}
