Tell end-to-end fields in one place

Cause: the fields that are passed on were told apart twice, by the callers' front and by the client of backend servers, line by line the same. Change: brmessage.EndToEnd serves both, with a test of its own. Conclusion: one list of hop-by-hop fields.

--- /dev/null
+++ b/internal/model/brmessage/endtoend_test.go
@@ -0,0 +1,26 @@
+package brmessage_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"bergamotroad.example/bergamotroad/internal/model/brmessage"
+)
+
+func TestOnlyFieldsFromEndToEndArePassedOn(t *testing.T) {
+	fields := brmessage.EndToEnd(map[string][]string{
+		"Accept":            {"text/plain"},
+		"Connection":        {"keep-alive, x-session", "Upgrade"},
+		"Keep-Alive":        {"5"},
+		"X-Session":         {"1"},
+		"Te":                {"trailers"},
+		"Transfer-Encoding": {"chunked"},
+		"Bergamotroad-Fate": {"not-run"},
+	})
+	left := map[string][]string{}
+	for name, values := range fields.All() {
+		left[name] = values
+	}
+	require.Equal(t, map[string][]string{"Accept": {"text/plain"}}, left)
+}
--- a/internal/peer/brbackend/answer.go
+++ b/internal/peer/brbackend/answer.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -18,17 +17,10 @@
 	// it. Nothing else in an answer says so.
 	FieldShed = "Bergamotroad-Shed"
 	shedValue = "1"
-	ownPrefix = "Bergamotroad-"
 
 	maxShedBody = 4 << 10 // bytes read so that the connection can be used again
 )
 
-// hopByHop are the fields that concern one connection only (RFC 9110, section 7.6.1).
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
-	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // answerOf returns the answer, or the error that stands for it.
 func answerOf(response *http.Response) (*brmessage.Answer, error) {
 	if response.StatusCode == http.StatusSwitchingProtocols {
@@ -47,8 +39,8 @@
 	if endsWithConnection(response) {
 		body = &unboundedBody{ReadCloser: body}
 	}
-	trailers := func() brmessage.Fields { return endToEnd(response.Trailer) }
-	return brmessage.NewAnswer(response.StatusCode, endToEnd(response.Header), body, trailers)
+	trailers := func() brmessage.Fields { return brmessage.EndToEnd(response.Trailer) }
+	return brmessage.NewAnswer(response.StatusCode, brmessage.EndToEnd(response.Header), body, trailers)
 }
 
 func isShed(response *http.Response) bool {
@@ -65,23 +57,6 @@
 	return ErrShed{retryAfter: time.Duration(seconds) * time.Second}
 }
 
-// endToEnd returns the fields that are passed on: neither those of one
-// connection nor those by which the system itself speaks.
-func endToEnd(header http.Header) brmessage.Fields {
-	copied := header.Clone()
-	for _, list := range header["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			copied.Del(strings.TrimSpace(name))
-		}
-	}
-	for name := range copied {
-		if slices.Contains(hopByHop, name) || strings.HasPrefix(name, ownPrefix) {
-			copied.Del(name)
-		}
-	}
-	return brmessage.NewFields(copied)
-}
-
 // endsWithConnection reports whether only the end of the connection marks the
 // end of the body, so that a cut can't be told from the end.
 func endsWithConnection(response *http.Response) bool {
--- a/internal/peer/brcaller/request.go
+++ b/internal/peer/brcaller/request.go
@@ -14,7 +14,6 @@
 import (
 	"net/http"
 	"net/netip"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -37,11 +36,7 @@
 	FieldRequestID = "X-Request-Id"
 )
 
-const (
-	bearerPrefix = "Bearer "
-	// ownPrefix begins the names of the system's own fields.
-	ownPrefix = "Bergamotroad-"
-)
+const bearerPrefix = "Bearer "
 
 // decode returns what decisions need of a request and what is passed on.
 func (h *Handler) decode(r *http.Request) (brrequest.Request, brmessage.Call) {
@@ -50,7 +45,7 @@
 		WithSize(r.ContentLength).
 		WithKeyHash(keyOf(r)).
 		WithDeadline(h.deadlineOf(r))
-	fields := endToEnd(r.Header)
+	fields := brmessage.EndToEnd(r.Header)
 	fields.Remove("Authorization")
 	fields.Remove("Expect")
 	fields.Set(FieldRequestID, id)
@@ -82,26 +77,3 @@
 	}
 	return brrequest.HashKey(key)
 }
-
-// hopByHop are the fields that concern one connection only (RFC 9110, section 7.6.1).
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
-	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
-// endToEnd returns a copy of the fields that are passed on.
-func endToEnd(header http.Header) brmessage.Fields {
-	copied := header.Clone()
-	for _, list := range header["Connection"] {
-		for name := range strings.SplitSeq(list, ",") {
-			copied.Del(strings.TrimSpace(name))
-		}
-	}
-	for name := range copied {
-		// Callers can't speak for the system.
-		if slices.Contains(hopByHop, name) || strings.HasPrefix(name, ownPrefix) {
-			copied.Del(name)
-		}
-	}
-	return brmessage.NewFields(copied)
-}
--- a/internal/peer/brentry/forward.go
+++ b/internal/peer/brentry/forward.go
@@ -24,7 +24,7 @@
 
 // Header fields between entry VMs.
 const (
-	ownPrefix         = "Bergamotroad-"
+	ownPrefix         = brmessage.OwnPrefix
 	fieldFate         = ownPrefix + "Fate"
 	fieldReason       = ownPrefix + "Reason"
 	fieldTimeout      = ownPrefix + "Timeout"
