Count for a move's cap only the requests that got a server

Cause: the gate of a move counted each try for a slot. Requests that wait in turn try again with each freed slot, and requests without any slot count too, so that on a full service the new version got more than its fraction of what ran: 1 of 3 placed requests at a cap of 1%. Change: choosing a version counts nothing; a request is counted once it has a server.

--- a/internal/decide/brbalance/balancer.go
+++ b/internal/decide/brbalance/balancer.go
@@ -94,6 +94,7 @@
 	s.turn++
 	best := b.policy.choose(b.free, b.random, s.turn)
 	best.inFlight++
+	b.moves.Placed(placement.Service(), placement.Route())
 	return broption.Some(best.server)
 }
 
--- a/internal/decide/brmove/book.go
+++ b/internal/decide/brmove/book.go
@@ -45,8 +45,15 @@
 	return m.By().After(other.By())
 }
 
-// Choose counts a request of a service and returns the versions that may run
-// it, the best first, or none where all may.
+// Placed counts a request of a service that got a server.
+func (b *Book) Placed(service, route string) {
+	if gate, ok := b.gates[service]; ok {
+		gate.Placed(route)
+	}
+}
+
+// Choose returns the versions that may run the next request of a service, the
+// best first, or none where all may.
 func (b *Book) Choose(now time.Time, service, route string) []string {
 	gate, ok := b.gates[service]
 	if !ok {
--- a/internal/decide/brmove/gate.go
+++ b/internal/decide/brmove/gate.go
@@ -13,6 +13,7 @@
 //
 //	gate := brmove.NewGate(now, move)
 //	choice := gate.Choose(now, "lookup")
+//	gate.Placed("lookup")
 //	gate.Observe(now, "v2", "lookup", outcome)
 //	proposal, ok := gate.Propose(now).Get()
 package brmove
@@ -80,27 +81,35 @@
 // Braked returns why the VM sends nothing to the new version, or "".
 func (g *Gate) Braked() string { return g.faulty }
 
-// admit counts one request of a route and reports whether the step lets it go
-// to the new version. Routes are counted apart, so that each gets its fraction
-// however their requests alternate; the fractions rounded down sum to no more
-// than that of all.
-func (g *Gate) admit(route string) bool {
+// limit returns the cap of a route, or nil where nothing is moved. Routes are
+// counted apart, so that each gets its fraction however their requests
+// alternate; the fractions rounded down sum to no more than that of all.
+func (g *Gate) limit(route string) *brselect.Cap {
 	limit, ok := g.limits[route]
 	if !ok {
 		limit = limitOf(g.move)
 		g.limits[route] = limit
 	}
-	return limit != nil && limit.Admit()
+	return limit
+}
+
+// Placed counts one request of a route that got a server. A request that could
+// have gone to the new version and did not is not made up for.
+func (g *Gate) Placed(route string) {
+	if limit := g.limit(route); limit != nil {
+		limit.Admit()
+	}
 }
 
-// Choose counts one request of a route and returns the versions that may run
-// it, the best first.
+// Choose returns the versions that may run the next request of a route, the
+// best first. It counts nothing: a request that finds no server must not raise
+// what the new version gets.
 func (g *Gate) Choose(now time.Time, route string) []string {
 	if g.move.State() == brconfig.MoveDone {
 		return []string{g.move.To()}
 	}
-	passes := g.admit(route)
-	if passes && g.faulty == "" && now.Before(g.move.By()) {
+	limit := g.limit(route)
+	if limit != nil && limit.Allows() && g.faulty == "" && now.Before(g.move.By()) {
 		return []string{g.move.To(), g.move.From()}
 	}
 	return []string{g.move.From()}
--- a/internal/decide/brmove/world_test.go
+++ b/internal/decide/brmove/world_test.go
@@ -131,6 +131,7 @@
 // place sends one request of a VM.
 func (w *world) place(v *vm, route string) string {
 	version := v.gate.Choose(w.now, route)[0]
+	v.gate.Placed(route)
 	kind, latency := w.kind(version, route)
 	if w.measures() && !w.brakeless {
 		v.gate.Observe(w.now, version, brrequest.NewOutcome("s", kind, latency).WithRoute(route))
--- a/internal/decide/brselect/splitter.go
+++ b/internal/decide/brselect/splitter.go
@@ -142,11 +142,16 @@
 	return &Cap{share: shares[0], denominator: denominator}, nil
 }
 
+// Allows reports whether the next request that is counted may pass.
+func (c *Cap) Allows() bool {
+	return (c.taken+1)*c.denominator <= (c.position+1)*c.share
+}
+
 // Admit counts one request and reports whether it may pass. A request that may
 // pass but does not is not made up for.
 func (c *Cap) Admit() bool {
+	passes := c.Allows()
 	c.position++
-	passes := (c.taken+1)*c.denominator <= c.position*c.share
 	if passes {
 		c.taken++
 	}
