--- a/internal/decide/brcapacity/role_platform.go
+++ b/internal/decide/brcapacity/role_platform.go
@@ -1,5 +1,7 @@
 package brcapacity
 
+import "bergamotroad.example/bergamotroad/internal/decide/brwitness"
+
 const (
 	idleVisitPeriod  = 60  // seconds
 	snapshotInterval = 256 // generations
@@ -18,6 +20,8 @@
 			Add(changesPerSecond()),
 		NewLine(role, resourceReads, "1/s").CarriedBy("two pollers of each failure domain").
 			Add(given("failure domains", targetDomains), Constant("pollers", domainPollers, ""), every("polls", 1)),
+		NewLine(role, resourceReads, "1/s").CarriedBy("polls of the witnesses").
+			Add(Constant("witnesses", brwitness.Count, ""), every("polls of a witness", 2)),
 		NewLine(role, resourceReads, "1/s").CarriedBy("visits of the shares' row by VMs that hold a floor").
 			Add(given("VMs", targetVMs), every("visits", idleVisitPeriod)),
 		NewLine(role, resourceReads, "1/s").CarriedBy("a read before each write of shares").
--- a/internal/decide/brcapacity/role_shares.go
+++ b/internal/decide/brcapacity/role_shares.go
@@ -11,9 +11,9 @@
 	organisations := Estimated("organisations", organisationMax, "")
 	return []Line{
 		NewLine(role, resourceProcessor, "ms/s").CarriedBy("tick over all accounts").
-			AddScaled(milliPerNano, every("ticks of admission", 0.05), m.at(slopeRenewals, organisationMax)).
+			AddScaled(milliPerNano, every("ticks of admission", 0.5), m.at(slopeRenewals, organisationMax)).
 			ReplacedBy(NewLine(role, resourceProcessor, "ms/s").CarriedBy("tick over the accounts with loans").
-				AddScaled(milliPerNano, every("ticks of admission", 0.05), Estimated("accounts with loans", 100, ""), Measured("an account", m.fits[slopeRenewals].Slope(), "ns"))),
+				AddScaled(milliPerNano, every("ticks of admission", 0.5), Estimated("accounts with loans", 100, ""), Measured("an account", m.fits[slopeRenewals].Slope(), "ns"))),
 		NewLine(role, resourceProcessor, "ms/s").CarriedBy("keychain copied on a change of keys, in two duties").
 			AddScaled(milliPerNano, changesPerSecond(), Estimated("of changes are of keys", 0.1, ""), Constant("duties with a keychain", 2, ""), m.at(slopeKeychain, organisationMax)),
 		NewLine(role, resourceMemory, "MB").CarriedBy("an account for each organisation with a contract").
