Wake an idle VM less often

Cause: most of an idle VM's processor time goes into waking: a watchdog for each duty, ticks of duties that do nothing on them, and looks at running requests and sources when there are none. Change: one watchdog for all duties; duties without work on a tick have none; revoking and following ask for ticks only when they have something to do.

--- a/internal/core/brduty/duty.go
+++ b/internal/core/brduty/duty.go
@@ -31,6 +31,7 @@
 const (
 	defaultCapacity = 1024 // messages
 	defaultPeriod   = time.Second
+	noPeriod        = 24 * time.Hour
 	// maxBatch bounds the messages handled between two looks at the snapshot
 	// ring and the timer.
 	maxBatch = 256
@@ -79,6 +80,11 @@
 	return func(o *options) { o.capacity = messages }
 }
 
+// WithoutTicks is for a handler whose Tick does nothing.
+func WithoutTicks() Option {
+	return WithPeriod(noPeriod)
+}
+
 // WithReserve adds places to the duty's queue for messages that are sent by
 // SendReserved.
 func WithReserve(messages int) Option {
--- a/internal/core/brduty/group.go
+++ b/internal/core/brduty/group.go
@@ -87,12 +87,12 @@
 // Context returns the context that ends when the group does; its cause tells why.
 func (g *Group) Context() context.Context { return g.context }
 
-// Start runs each duty on a goroutine of its own and a watchdog beside it.
+// Start runs each duty on a goroutine of its own, and one watchdog beside them.
 func (g *Group) Start(duties ...Runner) {
 	for _, d := range duties {
 		g.wait.Go(func() { g.run(d) })
-		g.wait.Go(func() { g.watch(d) })
 	}
+	g.wait.Go(func() { g.watch(duties) })
 }
 
 // Stop ends all duties and waits for them.
@@ -111,21 +111,31 @@
 	d.Run(g.context)
 }
 
-func (g *Group) watch(d Runner) {
+func (g *Group) watch(duties []Runner) {
 	timer := g.clock.NewTimer(stallAfter)
 	defer timer.Stop()
-	earlier := d.Progress()
+	earlier := make([]Progress, len(duties))
+	for i, d := range duties {
+		earlier[i] = d.Progress()
+	}
 	for {
 		select {
 		case <-g.context.Done():
 			return
 		case <-timer.C():
 		}
-		now := d.Progress()
-		if now.StalledSince(earlier) {
-			g.observer.DutyStalled(d.Name(), now.Waiting())
+		for i, d := range duties {
+			earlier[i] = g.compare(d, earlier[i])
 		}
-		earlier = now
 		timer.Reset(stallAfter)
 	}
 }
+
+// compare reports a duty that stands still and returns how far it has come.
+func (g *Group) compare(d Runner, earlier Progress) Progress {
+	now := d.Progress()
+	if now.StalledSince(earlier) {
+		g.observer.DutyStalled(d.Name(), now.Waiting())
+	}
+	return now
+}
--- a/internal/duty/brfollowing/duty.go
+++ b/internal/duty/brfollowing/duty.go
@@ -33,6 +33,8 @@
 	queueCapacity = 64 // messages
 	// tickPeriod is the time between two questions.
 	tickPeriod = 100 * time.Millisecond
+	// pollerPeriod is the time between two looks of a VM that polls itself.
+	pollerPeriod = 500 * time.Millisecond
 	// patience is how long a source may hold a question.
 	patience = 1500 * time.Millisecond
 	// answerTime is what a source may take beyond its patience.
@@ -71,7 +73,7 @@
 		plan:      brspread.NewPlan(vm, domain, nil),
 	}
 	return &Following{
-		duty:      brduty.New[message, brmember.List]("following", h, clock, brduty.WithPeriod(tickPeriod), brduty.WithCapacity(queueCapacity)),
+		duty:      brduty.New[message, brmember.List]("following", h, clock, brduty.WithPeriod(pollerPeriod), brduty.WithCapacity(queueCapacity)),
 		spreading: spreading,
 	}
 }
@@ -151,6 +153,11 @@
 	return patience
 }
 
+// Due asks for the next question soon, unless the VM hears the platform itself.
+func (h *handler) Due(time.Time) (time.Duration, bool) {
+	return tickPeriod, !h.plan.Poller()
+}
+
 func (h *handler) settle(v verdict) {
 	before := h.failed
 	if v == verdictFailed {
--- a/internal/duty/brforwarding/duty.go
+++ b/internal/duty/brforwarding/duty.go
@@ -46,7 +46,7 @@
 func New(domain string, clock brclock.Clock) *Forwarding {
 	h := &handler{clock: clock, chooser: brforward.NewChooser(domain)}
 	return &Forwarding{
-		duty:    brduty.New("forwarding", h, clock, brduty.WithCapacity(queueCapacity)),
+		duty:    brduty.New("forwarding", h, clock, brduty.WithCapacity(queueCapacity), brduty.WithoutTicks()),
 		targets: brring.NewReplyPool[broption.Option[brrequest.Target]](),
 	}
 }
--- a/internal/duty/brpinging/duty.go
+++ b/internal/duty/brpinging/duty.go
@@ -87,7 +87,7 @@
 func New(clock brclock.Clock, pinger Pinger) *Pinging {
 	h := &handler{pinger: pinger}
 	return &Pinging{
-		duty:    brduty.New[[]Call, struct{}]("pinging", h, clock, brduty.WithCapacity(queueCapacity)),
+		duty:    brduty.New[[]Call, struct{}]("pinging", h, clock, brduty.WithCapacity(queueCapacity), brduty.WithoutTicks()),
 		handler: h,
 	}
 }
--- a/internal/duty/brretrying/duty.go
+++ b/internal/duty/brretrying/duty.go
@@ -37,7 +37,7 @@
 func New(clock brclock.Clock) *Retrying {
 	h := &handler{budget: brretry.NewBudget()}
 	return &Retrying{
-		duty:    brduty.New("retrying", h, clock, brduty.WithCapacity(queueCapacity)),
+		duty:    brduty.New("retrying", h, clock, brduty.WithCapacity(queueCapacity), brduty.WithoutTicks()),
 		answers: brring.NewReplyPool[bool](),
 	}
 }
--- a/internal/duty/brrevoking/duty.go
+++ b/internal/duty/brrevoking/duty.go
@@ -31,7 +31,8 @@
 
 const (
 	queueCapacity = 8192 // messages
-	tickPeriod    = 250 * time.Millisecond
+	// checkPeriod is the time between two looks at running requests.
+	checkPeriod = 250 * time.Millisecond
 	// Grace is how long a request may go on after its key stopped being honoured.
 	Grace = 2 * time.Second
 )
@@ -69,7 +70,7 @@
 func New(clock brclock.Clock) *Revoking {
 	h := &handler{clock: clock, running: map[brrequest.KeyHash]*group{}, keys: brkey.NewKeychain(brconfig.NewSnapshot())}
 	return &Revoking{
-		duty: brduty.New("revoking", h, clock, brduty.WithCapacity(queueCapacity), brduty.WithPeriod(tickPeriod)),
+		duty: brduty.New("revoking", h, clock, brduty.WithCapacity(queueCapacity), brduty.WithoutTicks()),
 	}
 }
 
@@ -141,6 +142,11 @@
 	h.check(now)
 }
 
+// Due asks for ticks while requests run.
+func (h *handler) Due(time.Time) (time.Duration, bool) {
+	return checkPeriod, len(h.running) > 0
+}
+
 func (h *handler) check(now time.Time) {
 	for key, g := range h.running {
 		g.forgetEnded()
--- a/internal/duty/brtelling/duty.go
+++ b/internal/duty/brtelling/duty.go
@@ -40,7 +40,7 @@
 // New returns the duty for a VM of a failure domain.
 func New(vm, domain string, clock brclock.Clock, entry Entry) *Telling {
 	h := &handler{vm: vm, domain: domain, entry: entry}
-	return &Telling{duty: brduty.New("telling", h, clock, brduty.WithCapacity(queueCapacity))}
+	return &Telling{duty: brduty.New("telling", h, clock, brduty.WithCapacity(queueCapacity), brduty.WithoutTicks())}
 }
 
 // Duty returns the duty to be started.
--- a/internal/duty/brtimeline/duty.go
+++ b/internal/duty/brtimeline/duty.go
@@ -66,7 +66,7 @@
 func New(vm, domain string, clock brclock.Clock) *Timeline {
 	h := &handler{vm: vm, domain: domain, hybrid: brclock.NewHybrid(clock)}
 	return &Timeline{
-		duty:  brduty.New[message, struct{}]("timeline", h, clock, brduty.WithCapacity(queueCapacity)),
+		duty:  brduty.New[message, struct{}]("timeline", h, clock, brduty.WithCapacity(queueCapacity), brduty.WithoutTicks()),
 		pages: brring.NewReplyPool[Page](),
 	}
 }
--- a/internal/duty/brwitnessing/duty.go
+++ b/internal/duty/brwitnessing/duty.go
@@ -71,7 +71,7 @@
 	h := &handler{clock: clock, witness: brwitness.NewWitness(clock.Now())}
 	return &Witnessing{
 		spreading: spreading,
-		duty:      brduty.New[message, struct{}]("witnessing", h, clock),
+		duty:      brduty.New[message, struct{}]("witnessing", h, clock, brduty.WithoutTicks()),
 		answers:   brring.NewReplyPool[bool](),
 	}
 }
--- a/internal/duty/brwriting/duty.go
+++ b/internal/duty/brwriting/duty.go
@@ -43,7 +43,7 @@
 func New(clock brclock.Clock) *Writing {
 	h := &handler{clock: clock, teams: brconfig.NewSnapshot().Teams(), paces: map[string]*brpace.Pace{}}
 	return &Writing{
-		duty:  brduty.New[message, *brconfig.Snapshot]("writing", h, clock, brduty.WithCapacity(queueCapacity)),
+		duty:  brduty.New[message, *brconfig.Snapshot]("writing", h, clock, brduty.WithCapacity(queueCapacity), brduty.WithoutTicks()),
 		waits: brring.NewReplyPool[time.Duration](),
 	}
 }
