Fuzz what callers and other VMs write

Cause: settings and resources were fuzzed; a caller's fields, forwarded requests and deltas were not.

--- /dev/null
+++ b/internal/peer/brcaller/decode_fuzz_test.go
@@ -0,0 +1,38 @@
+package brcaller
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/model/brmessage"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+)
+
+// Whatever a caller writes into its fields, its key is passed on in none of
+// them, and it can't speak for the system.
+func FuzzDecode(f *testing.F) {
+	f.Add("Bearer secret-key-1", "Connection", "x-session")
+	f.Add("bearer secret-key-1", "Bergamotroad-Fate", "ran")
+	f.Add("Bearer  ", "Connection", "authorization, , \t")
+	f.Add("Basic secret-key-1", "authorization", "Bearer other")
+	f.Fuzz(func(t *testing.T, authorization, name, value string) {
+		r := httptest.NewRequest(http.MethodGet, "/cylinders/7", nil)
+		r.Header.Set(name, value)
+		r.Header.Set("Authorization", authorization)
+		h := &Handler{clock: brclock.NewSystem()}
+		request, call := h.decode(r)
+		for field := range call.Fields().All() {
+			require.False(t, strings.EqualFold(field, "Authorization"), "the key is passed on")
+			require.False(t, strings.HasPrefix(field, brmessage.OwnPrefix), "%s is passed on", field)
+		}
+		key, isBearer := strings.CutPrefix(authorization, bearerPrefix)
+		if isBearer && key != "" {
+			require.Equal(t, brrequest.HashKey(key), request.KeyHash())
+		}
+	})
+}
--- /dev/null
+++ b/internal/peer/brentry/decode_fuzz_test.go
@@ -0,0 +1,44 @@
+package brentry_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"bergamotroad.example/bergamotroad/internal/core/brclock"
+	"bergamotroad.example/bergamotroad/internal/model/brmessage"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+	"bergamotroad.example/bergamotroad/internal/peer/brentry"
+	"bergamotroad.example/bergamotroad/internal/service/brdispatch"
+)
+
+// A forwarded request with any fields is answered with a fate, and nothing of
+// what VMs tell each other reaches a server.
+func FuzzForwarded(f *testing.F) {
+	f.Add("3", "9s", "5000", "7", "any")
+	f.Add("-1", "", "x", "18446744073709551616", "once")
+	f.Add("9999999999", "1e9h", "-5", "7", "\x00")
+	f.Fuzz(func(t *testing.T, weight, timeout, patience, generation, repeat string) {
+		r := &receiver{receive: func(_ context.Context, writer brdispatch.Writer) brdispatch.Result {
+			_ = writer.WriteHead(http.StatusOK, brmessage.NewFields(nil))
+			return brdispatch.NewResult(brrequest.FateRan, brrequest.ReasonNone, 0).WithStarted(true)
+		}}
+		front := brentry.WithForwarding(http.NotFoundHandler(), brclock.NewSystem(), r, unpaced{})
+		request := httptest.NewRequest(http.MethodPost, "/forward/entries/1", strings.NewReader("body"))
+		request.Header["Bergamotroad-Weight"] = []string{weight}
+		request.Header["Bergamotroad-Route-Timeout"] = []string{timeout}
+		request.Header["Bergamotroad-Timeout"] = []string{patience}
+		request.Header["Bergamotroad-Generation"] = []string{generation}
+		request.Header["Bergamotroad-Repeat"] = []string{repeat}
+		answer := httptest.NewRecorder()
+		front.ServeHTTP(answer, request)
+		require.NotEmpty(t, answer.Header().Get("Bergamotroad-Fate"))
+		for field := range r.fields.All() {
+			require.False(t, strings.HasPrefix(field, brmessage.OwnPrefix), "%s reaches a server", field)
+		}
+	})
+}
