--- a/internal/command/brcommand/root.go
+++ b/internal/command/brcommand/root.go
@@ -11,18 +11,14 @@
 	"context"
 	"fmt"
 	"io"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 )
 
 // Main runs the program with its arguments and returns its exit code.
 func Main(arguments []string, output, errorOutput io.Writer) int {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	ctx, stop := untilSignal(context.Background())
 	defer stop()
-	// A second signal ends the program at once.
-	context.AfterFunc(ctx, stop)
 	root := newRoot()
 	root.SetArgs(arguments)
 	root.SetOut(output)
