Log the server's region and the load that decided where a request went

Cause: the line of a request named the server but not its region, nor the load and the number of servers that the choice was made from, although docs/OPERATIONS.md sends readers to 'load'. Change: the job keeps the newest choice; the line gains server_region, among, load and busy.

--- a/internal/service/brcarrier/attempt.go
+++ b/internal/service/brcarrier/attempt.go
@@ -62,7 +62,7 @@
 		if err != nil || !again.Placed() {
 			return conclude(j, end)
 		}
-		c.journal.Failure(j.request.ID(), "tried again", "server", j.server, "cause", end.cause(), "next", again.Choice().Server().ID())
+		c.journal.Failure(j.request.ID(), "tried again", "server", j.choice.Server().ID(), "cause", end.cause(), "next", again.Choice().Server().ID())
 		answer = again
 	}
 }
@@ -139,7 +139,7 @@
 // send sends the request once.
 func (c *Carrier) send(ctx context.Context, j *job, choice brplace.Choice) ending {
 	server := choice.Server()
-	j.server, j.place = server.ID(), choice.Place()
+	j.choice = choice
 	j.tries++
 	j.ask = j.ask.Avoiding(server.ID())
 	sent := c.clock.Now()
--- a/internal/service/brcarrier/job.go
+++ b/internal/service/brcarrier/job.go
@@ -42,8 +42,7 @@
 	ask          brplace.Ask
 	runs         int // servers that may have run the request
 	tries        int
-	place        int
-	server       string
+	choice       brplace.Choice // of the newest try
 	version      uint64
 	policyAge    time.Duration
 	serversAge   time.Duration
--- a/internal/service/brcarrier/report.go
+++ b/internal/service/brcarrier/report.go
@@ -1,6 +1,7 @@
 package brcarrier
 
 import (
+	"math"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -58,7 +59,12 @@
 	}
 	report(j.request.ID(), outcome, "fate", string(result.fate), "reason", string(result.reason), "status", result.status,
 		"route", j.route.Name(), "organisation", j.organisation.Name(), "service", j.service, "object", j.request.Object(),
-		"server", j.server, "place", j.place, "tries", j.tries, "took_ms", took.Milliseconds(),
+		"server", j.choice.Server().ID(), "server_region", j.choice.Server().Region(), "place", j.choice.Place(),
+		"among", j.choice.Among(), "load", rounded(j.choice.Load()), "busy", rounded(j.choice.Busy()),
+		"tries", j.tries, "took_ms", took.Milliseconds(),
 		"retry_after_ms", result.retryAfter.Milliseconds(), "configuration", j.version,
 		"configuration_age_ms", j.policyAge.Milliseconds(), "servers_age_ms", j.serversAge.Milliseconds())
 }
+
+// rounded keeps what lines of the log need of a load.
+func rounded(load float64) float64 { return math.Round(load*100) / 100 }
