--- /dev/null
+++ b/internal/decide/brplace/death_test.go
@@ -0,0 +1,79 @@
+package brplace_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bergamotroad.example/bergamotroad/internal/decide/brplace"
+	"bergamotroad.example/bergamotroad/internal/model/brfleet"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+)
+
+var deadly = brrequest.NewFingerprint("entries", "POST", "/deadly", nil, 0)
+
+func broke(server string) brplace.Outcome {
+	return brplace.NewOutcome(server, brrequest.OutcomeBroken, 0).WithRequest(deadly)
+}
+
+func notSent(server string) brplace.Outcome {
+	return brplace.NewOutcome(server, brrequest.OutcomeNotSent, 0)
+}
+
+func TestServerThatBreaksOffAndIsThenUnreachableHasDied(t *testing.T) {
+	p := newPlacer("vm-1", "a", view(servers(2), nil, nil))
+	p.Settle(start, broke("s-00"))
+	require.Empty(t, p.Deaths(), "only the connection may have broken")
+	p.Settle(start.Add(time.Second), notSent("s-01"))
+	require.Empty(t, p.Deaths(), "another server")
+	p.Settle(start.Add(time.Second), notSent("s-00"))
+	deaths := p.Deaths()
+	require.Len(t, deaths, 1)
+	require.Equal(t, deadly, deaths[0].Request())
+	require.Empty(t, p.Deaths(), "taken already")
+	p.Settle(start.Add(2*time.Second), notSent("s-00"))
+	require.Empty(t, p.Deaths(), "the same death")
+}
+
+func TestServerThatIsFoundDeadAtOnceHasDied(t *testing.T) {
+	p := newPlacer("vm-1", "a", view(servers(2), nil, nil))
+	p.Settle(start, broke("s-00").WithDead(true))
+	require.Len(t, p.Deaths(), 1)
+}
+
+func TestServerThatAnswersLaterRequestsHasNotDied(t *testing.T) {
+	p := newPlacer("vm-1", "a", view(servers(1), nil, nil))
+	p.Settle(start, broke("s-00"))
+	p.Settle(start.Add(100*time.Millisecond), answered("s-00")) // sent 100 ms before the break
+	p.Settle(start.Add(time.Second), notSent("s-00"))
+	require.Len(t, p.Deaths(), 1, "an answer to an earlier request says nothing")
+
+	p.Settle(start.Add(2*time.Second), broke("s-00"))
+	p.Settle(start.Add(3*time.Second), answered("s-00"))
+	p.Settle(start.Add(4*time.Second), notSent("s-00"))
+	require.Empty(t, p.Deaths())
+}
+
+func TestServerThatStartsAnewHasDied(t *testing.T) {
+	list := servers(1)
+	p := newPlacer("vm-1", "a", view(list, nil, nil))
+	p.Settle(start, broke("s-00"))
+	reborn := []brfleet.Server{list[0].WithStart(77, 0)}
+	p.Update(start.Add(3*time.Second), view(reborn, nil, nil))
+	first := p.Deaths()
+	require.Len(t, first, 1)
+
+	p.Settle(start.Add(4*time.Second), broke("s-00"))
+	p.Settle(start.Add(5*time.Second), notSent("s-00"))
+	second := p.Deaths()
+	require.Len(t, second, 1)
+	require.NotEqual(t, first[0].Server(), second[0].Server(), "another life of the server")
+}
+
+func TestBreakLongBeforeDeathIsNotItsCause(t *testing.T) {
+	p := newPlacer("vm-1", "a", view(servers(1), nil, nil))
+	p.Settle(start, broke("s-00"))
+	p.Settle(start.Add(time.Minute), notSent("s-00"))
+	require.Empty(t, p.Deaths())
+}
--- a/internal/decide/brplace/outcome.go
+++ b/internal/decide/brplace/outcome.go
@@ -14,6 +14,8 @@
 	kind    brrequest.OutcomeKind
 	latency time.Duration
 	load    broption.Option[brfleet.Load]
+	request broption.Option[brrequest.Fingerprint]
+	dead    bool
 }
 
 // NewOutcome returns the end of a request at a server, with the time that it took there.
@@ -27,6 +29,18 @@
 	return o
 }
 
+// WithRequest returns the outcome with the fingerprint of the request.
+func (o Outcome) WithRequest(fingerprint brrequest.Fingerprint) Outcome {
+	o.request = broption.Some(fingerprint)
+	return o
+}
+
+// WithDead returns the outcome, after which the server was found to be dead or not.
+func (o Outcome) WithDead(dead bool) Outcome {
+	o.dead = dead
+	return o
+}
+
 // Server returns the server's identifier.
 func (o Outcome) Server() string { return o.server }
 
--- a/internal/decide/brplace/placer.go
+++ b/internal/decide/brplace/placer.go
@@ -23,6 +23,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bergamotroad.example/bergamotroad/internal/model/brfleet"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
 )
 
 const (
@@ -57,6 +58,7 @@
 	servers   map[string]*server
 	services  map[string]*service
 	exposures map[string]Exposure
+	deaths    []Death
 }
 
 // service is what the VM believes of the servers of one service.
@@ -115,6 +117,9 @@
 func (p *Placer) refresh(now time.Time, traits brfleet.Server) *server {
 	s, ok := p.servers[traits.ID()]
 	if !ok || s.traits.Born() != traits.Born() || s.traits.Address() != traits.Address() {
+		if ok {
+			p.died(now, s)
+		}
 		s = &server{traits: traits, hash: xxhash.Sum64String(traits.ID())}
 	}
 	if left := traits.ColdLeft(); left > 0 && (!ok || s.traits.ColdLeft() != left || s.coldUntil.IsZero()) {
@@ -280,6 +285,9 @@
 		return
 	}
 	one.settle(now, outcome)
+	if outcome.dead || outcome.kind == brrequest.OutcomeNotSent {
+		p.died(now, one)
+	}
 	s := p.service(one.traits.Service())
 	switch {
 	case outcome.latency <= 0:
--- a/internal/decide/brplace/server.go
+++ b/internal/decide/brplace/server.go
@@ -49,6 +49,7 @@
 	coldUntil time.Time
 	cautious  bool // unreachable when last tried
 	pace      pacer
+	broken    []broken // requests that broke off, by time
 }
 
 func (s *server) load(now time.Time) float64 {
@@ -91,6 +92,7 @@
 	}
 	switch o.kind {
 	case brrequest.OutcomeAnswered:
+		s.lived(now.Add(-o.latency))
 		s.answered(now, o.latency)
 	case brrequest.OutcomeFault:
 		s.fault(now)
@@ -100,6 +102,7 @@
 		s.cautious = true
 		s.fail(now)
 	case brrequest.OutcomeBroken:
+		s.breaks(now, o)
 		s.fault(now)
 		s.fail(now)
 	case brrequest.OutcomeCancelled:
--- /dev/null
+++ b/internal/decide/brpoison/fleet_test.go
@@ -0,0 +1,290 @@
+package brpoison_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bergamotroad.example/bergamotroad/internal/core/brset"
+	"bergamotroad.example/bergamotroad/internal/decide/brcensus"
+	"bergamotroad.example/bergamotroad/internal/decide/brplace"
+	"bergamotroad.example/bergamotroad/internal/decide/brpoison"
+	"bergamotroad.example/bergamotroad/internal/model/brfleet"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+)
+
+const (
+	// step is the resolution of the simulated time.
+	step = 10 * time.Millisecond
+	// travel is the longest time in which a notice reaches all VMs.
+	travel = 1500 * time.Millisecond
+	// work is the time that a server takes for a request.
+	work = 200 * time.Millisecond
+	// down is the time for which a server that died is away.
+	down = 3 * time.Second
+	// contact is the time after which all VMs are held to what one has seen, and
+	// moreRetries how often a request may reach servers after then.
+	contact     = 3 * time.Second
+	moreRetries = 3
+)
+
+// fleet is a simulated fleet of VMs and backend servers, in virtual time.
+type fleet struct {
+	now     time.Time
+	random  *rand.Rand
+	vms     []*simulatedVM
+	servers []*simulatedServer
+	later   []event
+	killed  []time.Time // servers, by the poison request
+	served  int
+	refused int // innocent requests
+}
+
+type event struct {
+	at  time.Time
+	run func()
+}
+
+type simulatedVM struct {
+	placer  *brplace.Placer
+	watch   *brpoison.Watch[brpoison.Prompt]
+	notices *brcensus.Notices
+}
+
+type simulatedServer struct {
+	id      string
+	born    int64
+	upAt    time.Time
+	running map[int]func() // what breaks off when the server dies
+	next    int
+}
+
+func newFleet(seed uint64, vms, servers int) *fleet {
+	f := &fleet{now: start, random: rand.New(rand.NewPCG(seed, 1))}
+	for i := range servers {
+		f.servers = append(f.servers, &simulatedServer{id: fmt.Sprintf("s-%02d", i), running: map[int]func(){}})
+	}
+	for i := range vms {
+		f.vms = append(f.vms, &simulatedVM{
+			placer:  brplace.New(fmt.Sprint("vm-", i), "a"),
+			watch:   brpoison.NewWatch[brpoison.Prompt](),
+			notices: brcensus.NewNotices(15*time.Second, 64),
+		})
+	}
+	f.showServers()
+	return f
+}
+
+// showServers tells all VMs which servers there are.
+func (f *fleet) showServers() {
+	list := []brfleet.Server{}
+	for _, s := range f.servers {
+		list = append(list, brfleet.NewServer(s.id, "ledger", s.id+":80").WithPlace("a-1", "a").WithSlots(4).WithStart(s.born, 0))
+	}
+	view := brfleet.NewView(brfleet.Policy{}, list, nil, nil, brset.New[string]())
+	for _, vm := range f.vms {
+		vm.placer.Update(f.now, view)
+		f.takeDeaths(vm)
+	}
+}
+
+func (f *fleet) takeDeaths(vm *simulatedVM) {
+	for _, death := range vm.placer.Deaths() {
+		if vm.watch.Killed(f.now, death.Request(), death.Server()) != brpoison.Acquitted {
+			vm.notices.Tell(f.now, brrequest.NewPoisonNotice(death.Request(), death.Server()))
+		}
+	}
+}
+
+func (f *fleet) after(length time.Duration, run func()) {
+	f.later = append(f.later, event{at: f.now.Add(length), run: run})
+}
+
+// play runs the fleet for a time; each calls is made at each step.
+func (f *fleet) play(length time.Duration, each func()) {
+	for end := f.now.Add(length); f.now.Before(end); f.now = f.now.Add(step) {
+		due := f.later
+		f.later = nil
+		for _, e := range due {
+			if e.at.After(f.now) {
+				f.later = append(f.later, e)
+				continue
+			}
+			e.run()
+		}
+		if f.now.Sub(start)%(250*time.Millisecond) == 0 {
+			f.tell()
+		}
+		each()
+	}
+}
+
+// tell brings what each VM tells to all others after a while.
+func (f *fleet) tell() {
+	all := []brrequest.PoisonNotice{}
+	for _, vm := range f.vms {
+		all = append(all, vm.notices.Told(f.now)...)
+	}
+	for _, vm := range f.vms {
+		f.after(time.Duration(f.random.Int64N(int64(travel))), func() { f.hear(vm, all) })
+	}
+}
+
+func (f *fleet) hear(vm *simulatedVM, all []brrequest.PoisonNotice) {
+	for _, notice := range vm.notices.News(f.now, all) {
+		switch {
+		case notice.Acquits():
+			vm.watch.Acquit(f.now, notice.Fingerprint(), notice.Server())
+		case vm.watch.Killed(f.now, notice.Fingerprint(), notice.Server()) == brpoison.Acquitted:
+			vm.notices.Tell(f.now, brrequest.NewPoisonAcquittal(notice.Fingerprint(), notice.Server()))
+		}
+	}
+}
+
+// send sends a request through any VM, and once more to another server where
+// the first breaks off.
+func (f *fleet) send(fingerprint brrequest.Fingerprint, object string, poison bool) {
+	vm := f.vms[f.random.IntN(len(f.vms))]
+	f.attempt(vm, brplace.NewAsk(object, "ledger").WithObject(object), fingerprint, poison, 2)
+}
+
+func (f *fleet) attempt(vm *simulatedVM, ask brplace.Ask, fingerprint brrequest.Fingerprint, poison bool, tries int) {
+	if vm.watch.Begin(f.now, fingerprint) == brpoison.Refused {
+		if !poison {
+			f.refused++
+		}
+		return
+	}
+	choice, ok := vm.placer.Pick(f.now, ask)
+	if !ok || tries == 0 {
+		return
+	}
+	s := f.server(choice.Server().ID())
+	settle := func(kind brrequest.OutcomeKind) {
+		vm.placer.Settle(f.now, brplace.NewOutcome(s.id, kind, work).WithRequest(fingerprint))
+		f.takeDeaths(vm)
+	}
+	again := func() { f.attempt(vm, ask.Avoiding(s.id), fingerprint, poison, tries-1) }
+	switch {
+	case f.now.Before(s.upAt):
+		settle(brrequest.OutcomeNotSent)
+		again()
+	case poison:
+		f.killed = append(f.killed, f.now)
+		f.kill(s)
+		settle(brrequest.OutcomeBroken)
+		again()
+	default:
+		f.run(vm, s, fingerprint, settle, again)
+	}
+}
+
+// run lets a server work on an innocent request.
+func (f *fleet) run(vm *simulatedVM, s *simulatedServer, fingerprint brrequest.Fingerprint, settle func(brrequest.OutcomeKind), again func()) {
+	id := s.next
+	s.next++
+	s.running[id] = func() {
+		settle(brrequest.OutcomeBroken)
+		again()
+	}
+	f.after(work, func() {
+		if _, runs := s.running[id]; !runs {
+			return
+		}
+		delete(s.running, id)
+		f.served++
+		settle(brrequest.OutcomeAnswered)
+		for _, server := range vm.watch.Ran(f.now, fingerprint) {
+			vm.notices.Tell(f.now, brrequest.NewPoisonAcquittal(fingerprint, server))
+		}
+	})
+}
+
+func (f *fleet) server(id string) *simulatedServer {
+	for _, s := range f.servers {
+		if s.id == id {
+			return s
+		}
+	}
+	return nil
+}
+
+// kill ends a server, which is back after a while.
+func (f *fleet) kill(s *simulatedServer) {
+	s.upAt = f.now.Add(down)
+	running := s.running
+	s.running = map[int]func(){}
+	for _, breakOff := range running {
+		breakOff()
+	}
+	f.after(down, func() {
+		s.born++
+		f.showServers()
+	})
+}
+
+func innocent(i int) (brrequest.Fingerprint, string) {
+	name := fmt.Sprint("/popular/", i)
+	return fingerprintOf(name), name
+}
+
+// Pattern: callers repeat a request that kills each server which begins to run
+// it, through all VMs, beside requests for popular objects. Once all VMs can
+// know of three servers that it killed it reaches no more than a few, and the
+// requests beside it are served.
+func TestPoisonOverAllVMsStopsAndOthersAreServed(t *testing.T) {
+	for seed := range uint64(10) {
+		f := newFleet(seed, 9, 24)
+		tick := 0
+		f.play(20*time.Second, func() {
+			tick++
+			f.send(innocentOf(f))
+			if tick%30 == 0 {
+				f.send(fingerprintOf("/poison"), "/poison", true)
+			}
+		})
+		require.GreaterOrEqual(t, len(f.killed), 3, "seed %d", seed)
+		late := 0
+		for _, at := range f.killed {
+			if at.After(f.killed[2].Add(contact)) {
+				late++
+			}
+		}
+		require.LessOrEqual(t, late, moreRetries, "seed %d: killed at %v", seed, f.killed)
+		require.Zero(t, f.refused, "seed %d", seed)
+		require.Greater(t, f.served, 1700, "seed %d", seed)
+	}
+}
+
+// Pattern: all servers die at the same moment while they run requests for
+// popular objects, several times, with so many VMs that each has seen few of the
+// requests run. No request is held to be the cause for long.
+func TestDeathOfAllServersBlamesNoRequest(t *testing.T) {
+	for seed := range uint64(3) {
+		f := newFleet(seed, 60, 24)
+		tick := 0
+		each := func() {
+			tick++
+			f.send(innocentOf(f))
+			if tick%600 == 300 {
+				for _, s := range f.servers {
+					f.kill(s)
+				}
+			}
+		}
+		f.play(20*time.Second, each)
+		tick = -2000 // no more deaths
+		f.play(contact, each)
+		f.refused = 0
+		f.play(5*time.Second, each)
+		require.Zero(t, f.refused, "seed %d", seed)
+	}
+}
+
+func innocentOf(f *fleet) (brrequest.Fingerprint, string, bool) {
+	fingerprint, object := innocent(f.random.IntN(12))
+	return fingerprint, object, false
+}
--- a/internal/decide/brpoison/recent.go
+++ b/internal/decide/brpoison/recent.go
@@ -1,28 +1,35 @@
 package brpoison
 
-import "bergamotroad.example/bergamotroad/internal/model/brrequest"
+import (
+	"time"
 
-// recent holds the last few fingerprints that were added.
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+)
+
+// recent holds the last few fingerprints that were added, with the time of the
+// newest addition.
 type recent struct {
 	order []brrequest.Fingerprint
 	next  int
-	known map[brrequest.Fingerprint]struct{}
+	known map[brrequest.Fingerprint]time.Time
 }
 
 func newRecent(capacity int) *recent {
-	return &recent{order: make([]brrequest.Fingerprint, 0, capacity), known: map[brrequest.Fingerprint]struct{}{}}
+	return &recent{order: make([]brrequest.Fingerprint, 0, capacity), known: map[brrequest.Fingerprint]time.Time{}}
 }
 
-func (r *recent) has(fingerprint brrequest.Fingerprint) bool {
-	_, ok := r.known[fingerprint]
-	return ok
+// since reports whether a fingerprint was added at a time or later.
+func (r *recent) since(fingerprint brrequest.Fingerprint, earliest time.Time) bool {
+	at, ok := r.known[fingerprint]
+	return ok && !at.Before(earliest)
 }
 
-func (r *recent) add(fingerprint brrequest.Fingerprint) {
-	if r.has(fingerprint) {
+func (r *recent) add(now time.Time, fingerprint brrequest.Fingerprint) {
+	_, ok := r.known[fingerprint]
+	r.known[fingerprint] = now
+	if ok {
 		return
 	}
-	r.known[fingerprint] = struct{}{}
 	if len(r.order) < cap(r.order) {
 		r.order = append(r.order, fingerprint)
 		return
--- a/internal/decide/brpoison/watch.go
+++ b/internal/decide/brpoison/watch.go
@@ -2,12 +2,12 @@
 //
 // A request is known by its fingerprint. The first death of a server makes
 // the requests that ran on it suspects; a suspect that runs to its end is one
-// no more. Only one suspect runs at a time, so that the next death has one
-// cause. A suspect at the death of a second server is refused for a time.
+// no more. A policy says at how many deaths a suspect is refused for a time, and
+// whether suspects run one at a time, so that the next death has one cause.
 //
 // # Usage
 //
-//	watch := brpoison.NewWatch()
+//	watch := brpoison.NewWatch[brpoison.Sparing]()
 //	if watch.Begin(now, fingerprint) == brpoison.Runs {
 //		watch.Killed(now, fingerprint, "ledger-1")
 //	}
@@ -22,12 +22,17 @@
 )
 
 const (
-	deadlyServers    = 2
 	suspicionTime    = 10 * time.Minute
 	refusalTime      = 10 * time.Minute
 	longestTrial     = 30 * time.Second // of a suspect whose end is not reported
 	maxSuspects      = 4096
 	maxKnownHarmless = 8192
+	// harmlessTime is how long a request that ran to its end is above suspicion;
+	// another version of a server may die of what an older one ran.
+	harmlessTime = 10 * time.Second
+	// acquittalTime is how long an acquittal is kept, which may arrive before what
+	// it answers.
+	acquittalTime = 30 * time.Second
 )
 
 // Verdict says whether a request may run.
@@ -43,13 +48,34 @@
 	Refused
 )
 
+// Finding says what the death of a server means for a request that ran there.
+type Finding int
+
+// The findings.
+const (
+	// Suspected means that the request may run, for now.
+	Suspected Finding = iota
+	// Condemned means that the request is refused from now on.
+	Condemned
+	// Acquitted means that the request has just run to its end elsewhere.
+	Acquitted
+)
+
 // Watch knows suspects, refused and harmless requests. It has one owner.
-type Watch struct {
-	suspects map[brrequest.Fingerprint]*suspect
-	refused  map[brrequest.Fingerprint]time.Time // end of the refusal
-	harmless *recent
-	trial    brrequest.Fingerprint
-	trialEnd time.Time
+type Watch[P Policy] struct {
+	policy    P
+	suspects  map[brrequest.Fingerprint]*suspect
+	refused   map[brrequest.Fingerprint]time.Time // end of the refusal
+	harmless  *recent
+	acquitted map[death]time.Time // when it was told
+	trial     brrequest.Fingerprint
+	trialEnd  time.Time
+}
+
+// death is the end of a server that is put down to a request.
+type death struct {
+	fingerprint brrequest.Fingerprint
+	server      string
 }
 
 type suspect struct {
@@ -58,16 +84,17 @@
 }
 
 // NewWatch returns a watch that knows of nothing.
-func NewWatch() *Watch {
-	return &Watch{
-		suspects: map[brrequest.Fingerprint]*suspect{},
-		refused:  map[brrequest.Fingerprint]time.Time{},
-		harmless: newRecent(maxKnownHarmless),
+func NewWatch[P Policy]() *Watch[P] {
+	return &Watch[P]{
+		suspects:  map[brrequest.Fingerprint]*suspect{},
+		refused:   map[brrequest.Fingerprint]time.Time{},
+		harmless:  newRecent(maxKnownHarmless),
+		acquitted: map[death]time.Time{},
 	}
 }
 
 // Begin returns whether a request may run now.
-func (w *Watch) Begin(now time.Time, fingerprint brrequest.Fingerprint) Verdict {
+func (w *Watch[P]) Begin(now time.Time, fingerprint brrequest.Fingerprint) Verdict {
 	if w.refused[fingerprint].After(now) {
 		return Refused
 	}
@@ -75,6 +102,9 @@
 	if !ok || !s.until.After(now) {
 		return Runs
 	}
+	if !w.policy.Serial() {
+		return Runs
+	}
 	if w.trialEnd.After(now) {
 		return Waits
 	}
@@ -83,30 +113,43 @@
 	return Runs
 }
 
-// Ran takes note that a request ran to its end.
-func (w *Watch) Ran(fingerprint brrequest.Fingerprint) {
+// Ran takes note that a request ran to its end, and returns the servers whose
+// deaths were put down to it, in order.
+func (w *Watch[P]) Ran(now time.Time, fingerprint brrequest.Fingerprint) []string {
+	servers := []string{}
+	if s, ok := w.suspects[fingerprint]; ok {
+		servers = slices.Sorted(s.servers.All())
+	}
 	delete(w.suspects, fingerprint)
-	w.harmless.add(fingerprint)
+	w.harmless.add(now, fingerprint)
 	w.Ended(fingerprint)
+	return servers
+}
+
+// Acquit takes note that another VM saw a request run to its end about when a
+// server died, and reports whether the request was refused.
+func (w *Watch[P]) Acquit(now time.Time, fingerprint brrequest.Fingerprint, server string) bool {
+	w.acquitted[death{fingerprint: fingerprint, server: server}] = now
+	return w.Lift(now, fingerprint)
 }
 
 // Ended takes note that a request ended in a way that says nothing of it.
-func (w *Watch) Ended(fingerprint brrequest.Fingerprint) {
+func (w *Watch[P]) Ended(fingerprint brrequest.Fingerprint) {
 	if w.trial == fingerprint {
 		w.trialEnd = time.Time{}
 	}
 }
 
-// Killed takes note that a server died while it ran a request, and reports
-// whether the request is refused from now on.
-func (w *Watch) Killed(now time.Time, fingerprint brrequest.Fingerprint, server string) bool {
+// Killed takes note that a server died while it ran a request.
+func (w *Watch[P]) Killed(now time.Time, fingerprint brrequest.Fingerprint, server string) Finding {
 	w.Ended(fingerprint)
-	if w.harmless.has(fingerprint) || w.refused[fingerprint].After(now) {
-		return false
+	if w.harmless.since(fingerprint, now.Add(-harmlessTime)) {
+		return Acquitted
 	}
+	_, acquitted := w.acquitted[death{fingerprint: fingerprint, server: server}]
 	s, ok := w.suspects[fingerprint]
-	if !ok && len(w.suspects) >= maxSuspects {
-		return false
+	if acquitted || w.refused[fingerprint].After(now) || !ok && len(w.suspects) >= maxSuspects {
+		return Suspected
 	}
 	if !ok || !s.until.After(now) {
 		s = &suspect{}
@@ -114,16 +157,19 @@
 	}
 	s.servers.Add(server)
 	s.until = now.Add(suspicionTime)
-	if s.servers.Len() < deadlyServers {
-		return false
+	if s.servers.Len() < w.policy.Deadly() {
+		return Suspected
 	}
 	delete(w.suspects, fingerprint)
 	w.refused[fingerprint] = now.Add(refusalTime)
-	return true
+	return Condemned
 }
 
+// Acquits reports whether VMs tell the others of suspects that ran to their end.
+func (w *Watch[P]) Acquits() bool { return w.policy.Acquits() }
+
 // Lift ends the refusal of a request and reports whether there was one.
-func (w *Watch) Lift(now time.Time, fingerprint brrequest.Fingerprint) bool {
+func (w *Watch[P]) Lift(now time.Time, fingerprint brrequest.Fingerprint) bool {
 	was := w.refused[fingerprint].After(now)
 	delete(w.refused, fingerprint)
 	delete(w.suspects, fingerprint)
@@ -131,12 +177,17 @@
 }
 
 // Expire forgets what is over.
-func (w *Watch) Expire(now time.Time) {
+func (w *Watch[P]) Expire(now time.Time) {
 	for fingerprint, until := range w.refused {
 		if !until.After(now) {
 			delete(w.refused, fingerprint)
 		}
 	}
+	for d, at := range w.acquitted {
+		if now.Sub(at) > acquittalTime {
+			delete(w.acquitted, d)
+		}
+	}
 	for fingerprint, s := range w.suspects {
 		if !s.until.After(now) {
 			delete(w.suspects, fingerprint)
@@ -157,7 +208,7 @@
 func (r Refusal) Until() time.Time { return r.until }
 
 // Refusals returns the requests that are refused, by ascending end.
-func (w *Watch) Refusals(now time.Time) []Refusal {
+func (w *Watch[P]) Refusals(now time.Time) []Refusal {
 	refusals := []Refusal{}
 	for fingerprint, until := range w.refused {
 		if until.After(now) {
--- a/internal/decide/brpoison/watch_test.go
+++ b/internal/decide/brpoison/watch_test.go
@@ -23,7 +23,7 @@
 // innocent requests run beside it, and none of those is refused.
 func TestPoisonCostsTwoServersAndNoInnocents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		watch := brpoison.NewWatch()
+		watch := brpoison.NewWatch[brpoison.Sparing]()
 		now := start
 		lost := 0
 		for range 100 {
@@ -39,7 +39,7 @@
 			}
 			if watch.Begin(now, fingerprintOf("/poison")) != brpoison.Runs {
 				for _, f := range beside {
-					watch.Ran(f)
+					watch.Ran(now, f)
 				}
 				continue
 			}
@@ -54,14 +54,65 @@
 }
 
 func TestRefusalEndsAndIsLifted(t *testing.T) {
-	watch := brpoison.NewWatch()
+	watch := brpoison.NewWatch[brpoison.Sparing]()
 	poison := fingerprintOf("/poison")
-	require.False(t, watch.Killed(start, poison, "a"))
-	require.False(t, watch.Killed(start, poison, "a"), "the same server says nothing new")
-	require.True(t, watch.Killed(start, poison, "b"))
+	require.Equal(t, brpoison.Suspected, watch.Killed(start, poison, "a"))
+	require.Equal(t, brpoison.Suspected, watch.Killed(start, poison, "a"), "the same server says nothing new")
+	require.Equal(t, brpoison.Condemned, watch.Killed(start, poison, "b"))
 	require.Equal(t, brpoison.Refused, watch.Begin(start, poison))
 	require.Len(t, watch.Refusals(start), 1)
 	require.Equal(t, brpoison.Runs, watch.Begin(start.Add(time.Hour), poison))
 	require.True(t, watch.Lift(start, poison))
 	require.Equal(t, brpoison.Runs, watch.Begin(start, poison))
 }
+
+// Callers repeat a poison request without a pause, beside requests that other
+// callers send again and again: it costs three servers, and no other request is
+// refused or waits.
+func TestPoisonIsRefusedAtItsThirdServerWithoutWaits(t *testing.T) {
+	watch := brpoison.NewWatch[brpoison.Prompt]()
+	popular := fingerprintOf("/popular")
+	now := start
+	lost := 0
+	for i := range 100 {
+		now = now.Add(50 * time.Millisecond)
+		require.Equal(t, brpoison.Runs, watch.Begin(now, popular))
+		if watch.Begin(now, fingerprintOf("/poison")) == brpoison.Runs {
+			lost++
+			watch.Killed(now, fingerprintOf("/poison"), fmt.Sprint("server-", lost))
+			watch.Killed(now, popular, fmt.Sprint("server-", lost))
+		}
+		if i%3 == 1 {
+			watch.Ran(now, popular)
+		}
+	}
+	require.Equal(t, 3, lost)
+}
+
+func TestRunAcquitsOnlyForATime(t *testing.T) {
+	watch := brpoison.NewWatch[brpoison.Prompt]()
+	f := fingerprintOf("/entries")
+	require.Equal(t, brpoison.Suspected, watch.Killed(start, f, "a"))
+	require.Equal(t, []string{"a"}, watch.Ran(start, f), "it was a suspect")
+	require.Empty(t, watch.Ran(start, f))
+	require.Equal(t, brpoison.Acquitted, watch.Killed(start.Add(time.Second), f, "b"))
+	later := start.Add(time.Minute)
+	require.Equal(t, brpoison.Suspected, watch.Killed(later, f, "c"))
+	require.Equal(t, brpoison.Suspected, watch.Killed(later, f, "d"))
+	require.Equal(t, brpoison.Condemned, watch.Killed(later, f, "e"))
+	require.Equal(t, brpoison.Refused, watch.Begin(later, f))
+}
+
+func TestAcquittalMayArriveBeforeTheDeathThatItAnswers(t *testing.T) {
+	watch := brpoison.NewWatch[brpoison.Prompt]()
+	f := fingerprintOf("/entries")
+	require.False(t, watch.Acquit(start, f, "a"))
+	for _, server := range []string{"a", "b", "c"} {
+		require.Equal(t, brpoison.Suspected, watch.Killed(start, f, server))
+	}
+	require.Equal(t, brpoison.Condemned, watch.Killed(start, f, "d"), "b, c and d are not answered")
+	require.True(t, watch.Acquit(start, f, "d"))
+	require.Equal(t, brpoison.Runs, watch.Begin(start, f))
+	watch.Expire(start.Add(time.Hour))
+	require.Equal(t, brpoison.Suspected, watch.Killed(start.Add(time.Hour), f, "a"))
+}
--- a/internal/duty/brcounting/counting.go
+++ b/internal/duty/brcounting/counting.go
@@ -19,6 +19,7 @@
 	"bergamotroad.example/bergamotroad/internal/core/brring"
 	"bergamotroad.example/bergamotroad/internal/decide/brcensus"
 	"bergamotroad.example/bergamotroad/internal/model/brfleet"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
 	"bergamotroad.example/bergamotroad/internal/model/brstanding"
 )
 
@@ -29,8 +30,19 @@
 	// adoptedLifetime is how long the standing that another VM told is used by
 	// a VM that has begun to read the store itself and has no reports yet.
 	adoptedLifetime = 2 * time.Second
+	// noticeLifetime is how long this VM tells of a poison request: several times
+	// what news takes to reach all VMs.
+	noticeLifetime = 15 * time.Second
+	// maxNotices is how many poison requests a VM tells of at a time; it bounds messages.
+	maxNotices = 64
 )
 
+// Listener takes what other VMs tell of poison requests.
+type Listener interface {
+	// Hear takes the notice of another VM.
+	Hear(notice brrequest.PoisonNotice)
+}
+
 // Count is the standing of the fleet, of the own region and of this VM, as of a
 // moment. It is immutable.
 type Count struct {
@@ -67,6 +79,7 @@
 	kindAdopt
 	kindLead
 	kindLeave
+	kindTell
 )
 
 type message struct {
@@ -78,6 +91,7 @@
 	ages     map[uint64]time.Duration
 	asOf     time.Time
 	leads    bool
+	notice   brrequest.PoisonNotice
 }
 
 // Counting is the duty with the calls that reach it.
@@ -88,7 +102,10 @@
 
 // New returns the duty of a VM.
 func New(clock brclock.Clock, self brfleet.VM) *Counting {
-	h := &handler{clock: clock, self: self, book: brcensus.NewBook(), leads: true}
+	h := &handler{
+		clock: clock, self: self, book: brcensus.NewBook(), leads: true,
+		notices: brcensus.NewNotices(noticeLifetime, maxNotices),
+	}
 	h.count.Store(&Count{})
 	return &Counting{
 		duty:    brduty.New[message, struct{}]("counting", h, clock, brduty.WithCapacity(queueCapacity), brduty.WithPeriod(sumPeriod)),
@@ -104,6 +121,14 @@
 	c.handler.subscribers = append(c.handler.subscribers, ring)
 }
 
+// ListenWith sets who hears of poison requests. It is called before the duty starts.
+func (c *Counting) ListenWith(listener Listener) { c.handler.listener = listener }
+
+// Tell passes a notice of a poison request on to all VMs without waiting.
+func (c *Counting) Tell(notice brrequest.PoisonNotice) {
+	_ = c.duty.Queue().Send(message{kind: kindTell, notice: notice})
+}
+
 // Count returns the newest count.
 func (c *Counting) Count() *Count { return c.handler.count.Load() }
 
@@ -160,6 +185,8 @@
 	leads       bool
 	leadsSince  time.Time
 	leaves      bool
+	notices     *brcensus.Notices
+	listener    Listener
 }
 
 // Handle takes one report.
@@ -189,6 +216,9 @@
 	case kindLeave:
 		h.leaves = true
 		h.sum(now)
+	case kindTell:
+		h.notices.Tell(now, m.notice)
+		h.sum(now)
 	}
 }
 
@@ -203,7 +233,7 @@
 	if h.leaves {
 		members = nil
 	}
-	own := brstanding.New(members, h.demands, h.agedTallies())
+	own := brstanding.New(members, h.demands, h.agedTallies()).WithPoison(h.notices.Told(now))
 	h.book.Report(now, h.self.Name(), own)
 	count := &Count{own: own, region: h.book.Region(now), leads: h.leads}
 	count.fleet, count.asOf = h.book.Fleet(now), now
@@ -211,11 +241,19 @@
 		count.fleet, count.asOf = h.adopted, h.adoptedAt
 	}
 	h.count.Store(count)
+	h.hear(now, count.fleet)
 	for _, ring := range h.subscribers {
 		_ = ring.Send(count)
 	}
 }
 
+// hear passes on what other VMs tell of poison requests.
+func (h *handler) hear(now time.Time, fleet brstanding.Standing) {
+	for _, notice := range h.notices.News(now, fleet.Poison()) {
+		h.listener.Hear(notice)
+	}
+}
+
 func (h *handler) agedTallies() map[uint64]brstanding.Tally {
 	aged := make(map[uint64]brstanding.Tally, len(h.ages))
 	for revision, age := range h.ages {
--- a/internal/duty/brplacing/handler.go
+++ b/internal/duty/brplacing/handler.go
@@ -17,13 +17,14 @@
 // handler owns the servers' states, the line of requests that wait, and the
 // budgets for retries.
 type handler struct {
-	clock    brclock.Clock
-	placer   *brplace.Placer
-	line     brplace.Line[brring.Reply[Answer]]
-	budget   *brretry.Budget
-	counting *brcounting.Counting
-	view     *brfleet.View
-	tallies  map[uint64]brstanding.Tally
+	clock     brclock.Clock
+	placer    *brplace.Placer
+	line      brplace.Line[brring.Reply[Answer]]
+	budget    *brretry.Budget
+	counting  *brcounting.Counting
+	poisoning Poisoning
+	view      *brfleet.View
+	tallies   map[uint64]brstanding.Tally
 }
 
 // Handle takes one message.
@@ -36,6 +37,7 @@
 		h.retry(now, m)
 	case kindSettle:
 		h.placer.Settle(now, m.outcome)
+		h.tellDeaths()
 		h.tally(m.verdict)
 		h.serve(now)
 	case kindExpose:
@@ -49,6 +51,7 @@
 	now := h.clock.Now()
 	h.view = view
 	h.placer.Update(now, view)
+	h.tellDeaths()
 	h.forget()
 	h.serve(now)
 }
@@ -107,6 +110,13 @@
 	})
 }
 
+// tellDeaths tells of the servers that died while they ran a request.
+func (h *handler) tellDeaths() {
+	for _, death := range h.placer.Deaths() {
+		h.poisoning.Killed(death.Request(), death.Server())
+	}
+}
+
 // tally counts an answer during a rollout.
 func (h *handler) tally(v Verdict) {
 	if !v.counts {
--- a/internal/duty/brplacing/placing.go
+++ b/internal/duty/brplacing/placing.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	placing := brplacing.New(clock, self, counting)
+//	placing := brplacing.New(clock, self, counting, poisoning)
 //	replicating.Subscribe(placing.Views())
 //	answer, err := placing.Place(ctx, ask, 50*time.Millisecond)
 //	placing.Settle(outcome)
@@ -22,6 +22,7 @@
 	"bergamotroad.example/bergamotroad/internal/decide/brretry"
 	"bergamotroad.example/bergamotroad/internal/duty/brcounting"
 	"bergamotroad.example/bergamotroad/internal/model/brfleet"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
 	"bergamotroad.example/bergamotroad/internal/model/brstanding"
 )
 
@@ -53,6 +54,12 @@
 	exposures map[string]brplace.Exposure
 }
 
+// Poisoning knows the requests of which servers die.
+type Poisoning interface {
+	// Killed tells that a server died while it ran a request.
+	Killed(fingerprint brrequest.Fingerprint, server string)
+}
+
 // Answer is a server for a request, or none. It is immutable.
 type Answer struct {
 	choice   brplace.Choice
@@ -93,9 +100,10 @@
 }
 
 // New returns the duty of this VM.
-func New(clock brclock.Clock, self brfleet.VM, counting *brcounting.Counting) *Placing {
+func New(clock brclock.Clock, self brfleet.VM, counting *brcounting.Counting, poisoning Poisoning) *Placing {
 	h := &handler{
-		clock: clock, placer: brplace.New(self.Name(), self.Region()), budget: brretry.NewBudget(), counting: counting,
+		clock: clock, placer: brplace.New(self.Name(), self.Region()), budget: brretry.NewBudget(),
+		counting: counting, poisoning: poisoning,
 		view: &brfleet.View{}, tallies: map[uint64]brstanding.Tally{},
 	}
 	return &Placing{
--- a/internal/duty/brpoisoning/duty.go
+++ b/internal/duty/brpoisoning/duty.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	poisoning := brpoisoning.New(clock, timeline, telling)
+//	poisoning := brpoisoning.New[brpoison.Sparing](clock, timeline, telling)
 //	group.Start(poisoning.Duty())
 //	verdict := poisoning.Begin(ctx, fingerprint)
 //	poisoning.Killed(fingerprint, "ledger-1")
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -60,25 +61,37 @@
 }
 
 // Poisoning is the duty with the calls that reach it.
-type Poisoning struct {
+type Poisoning[P brpoison.Policy] struct {
 	duty    *brduty.Duty[message, struct{}]
 	answers *brring.ReplyPool[answer]
+	refused *atomic.Pointer[refusals]
 }
 
+// refusals are the ends of the refusals in force. The map is not changed.
+type refusals map[brrequest.Fingerprint]time.Time
+
 // New returns the duty.
-func New(clock brclock.Clock, events brevent.Recorder, teller Teller) *Poisoning {
-	h := &handler{clock: clock, events: events, teller: teller, watch: brpoison.NewWatch()}
-	return &Poisoning{
+func New[P brpoison.Policy](clock brclock.Clock, events brevent.Recorder, teller Teller) *Poisoning[P] {
+	h := &handler[P]{clock: clock, events: events, teller: teller, watch: brpoison.NewWatch[P]()}
+	h.refused.Store(&refusals{})
+	return &Poisoning[P]{
 		duty:    brduty.New[message, struct{}]("poisoning", h, clock, brduty.WithCapacity(queueCapacity), brduty.WithPeriod(expiryPeriod)),
 		answers: brring.NewReplyPool[answer](),
+		refused: &h.refused,
 	}
 }
 
+// Refused returns until when a request is refused, without waiting for the duty.
+func (p *Poisoning[P]) Refused(fingerprint brrequest.Fingerprint) (time.Time, bool) {
+	until, ok := (*p.refused.Load())[fingerprint]
+	return until, ok
+}
+
 // Duty returns the duty to be started.
-func (p *Poisoning) Duty() brduty.Runner { return p.duty }
+func (p *Poisoning[P]) Duty() brduty.Runner { return p.duty }
 
 // Begin returns whether a request may run now. A full ring lets it wait.
-func (p *Poisoning) Begin(ctx context.Context, fingerprint brrequest.Fingerprint) brpoison.Verdict {
+func (p *Poisoning[P]) Begin(ctx context.Context, fingerprint brrequest.Fingerprint) brpoison.Verdict {
 	got, err := p.ask(ctx, message{action: actionBegin, fingerprint: fingerprint})
 	if err != nil {
 		return brpoison.Waits
@@ -87,38 +100,38 @@
 }
 
 // Ran tells that a server ran a request to its end.
-func (p *Poisoning) Ran(fingerprint brrequest.Fingerprint) {
+func (p *Poisoning[P]) Ran(fingerprint brrequest.Fingerprint) {
 	_ = p.duty.Queue().Send(message{action: actionRan, fingerprint: fingerprint})
 }
 
 // Ended tells that a request ended in a way that says nothing of it.
-func (p *Poisoning) Ended(fingerprint brrequest.Fingerprint) {
+func (p *Poisoning[P]) Ended(fingerprint brrequest.Fingerprint) {
 	_ = p.duty.Queue().Send(message{action: actionEnded, fingerprint: fingerprint})
 }
 
 // Killed tells that a server died while it ran a request.
-func (p *Poisoning) Killed(fingerprint brrequest.Fingerprint, server string) {
+func (p *Poisoning[P]) Killed(fingerprint brrequest.Fingerprint, server string) {
 	_ = p.duty.Queue().Send(message{action: actionKilled, notice: brrequest.NewPoisonNotice(fingerprint, server)})
 }
 
 // Hear takes the notice of another VM.
-func (p *Poisoning) Hear(notice brrequest.PoisonNotice) {
+func (p *Poisoning[P]) Hear(notice brrequest.PoisonNotice) {
 	_ = p.duty.Queue().Send(message{action: actionHear, notice: notice})
 }
 
 // Lift ends the refusal of a request on all VMs, and reports whether this VM refused it.
-func (p *Poisoning) Lift(ctx context.Context, fingerprint brrequest.Fingerprint) (bool, error) {
+func (p *Poisoning[P]) Lift(ctx context.Context, fingerprint brrequest.Fingerprint) (bool, error) {
 	got, err := p.ask(ctx, message{action: actionLift, fingerprint: fingerprint})
 	return got.lifted, err
 }
 
 // Refusals returns the requests that are refused.
-func (p *Poisoning) Refusals(ctx context.Context) ([]brpoison.Refusal, error) {
+func (p *Poisoning[P]) Refusals(ctx context.Context) ([]brpoison.Refusal, error) {
 	got, err := p.ask(ctx, message{action: actionList})
 	return got.refusals, err
 }
 
-func (p *Poisoning) ask(ctx context.Context, m message) (answer, error) {
+func (p *Poisoning[P]) ask(ctx context.Context, m message) (answer, error) {
 	got, err := brring.Ask(ctx, p.duty.Queue(), p.answers, func(reply brring.Reply[answer]) message {
 		m.reply = reply
 		return m
@@ -129,26 +142,26 @@
 	return got, nil
 }
 
-type handler struct {
-	clock  brclock.Clock
-	events brevent.Recorder
-	teller Teller
-	watch  *brpoison.Watch
+type handler[P brpoison.Policy] struct {
+	clock   brclock.Clock
+	events  brevent.Recorder
+	teller  Teller
+	watch   *brpoison.Watch[P]
+	refused atomic.Pointer[refusals]
 }
 
 // Handle takes what happened, or a question.
-func (h *handler) Handle(_ context.Context, m message) {
+func (h *handler[P]) Handle(_ context.Context, m message) {
 	now := h.clock.Now()
 	switch m.action {
 	case actionBegin:
 		m.reply.Answer(answer{verdict: h.watch.Begin(now, m.fingerprint)})
 	case actionRan:
-		h.watch.Ran(m.fingerprint)
+		h.ran(now, m.fingerprint)
 	case actionEnded:
 		h.watch.Ended(m.fingerprint)
 	case actionKilled:
-		h.killed(now, m.notice)
-		h.teller.Tell(m.notice)
+		h.suspect(now, m.notice)
 	case actionHear:
 		h.hear(now, m.notice)
 	case actionLift:
@@ -160,36 +173,85 @@
 }
 
 // Update does nothing: the duty depends on no snapshot.
-func (*handler) Update(context.Context, struct{}) {}
+func (*handler[P]) Update(context.Context, struct{}) {}
 
 // Tick forgets what is over.
-func (h *handler) Tick(_ context.Context, now time.Time) {
+func (h *handler[P]) Tick(_ context.Context, now time.Time) {
 	h.watch.Expire(now)
+	h.publish(now)
+}
+
+// publish shows the refusals in force to whoever asks without waiting.
+func (h *handler[P]) publish(now time.Time) {
+	list := h.watch.Refusals(now)
+	ends := make(refusals, len(list))
+	for _, r := range list {
+		ends[r.Fingerprint()] = r.Until()
+	}
+	h.refused.Store(&ends)
 }
 
-func (h *handler) hear(now time.Time, notice brrequest.PoisonNotice) {
-	if notice.Lifted() {
+func (h *handler[P]) ran(now time.Time, fingerprint brrequest.Fingerprint) {
+	for _, server := range h.watch.Ran(now, fingerprint) {
+		h.acquit(fingerprint, server)
+	}
+}
+
+// acquit tells the others that a server's death has another cause.
+func (h *handler[P]) acquit(fingerprint brrequest.Fingerprint, server string) {
+	if h.watch.Acquits() {
+		h.teller.Tell(brrequest.NewPoisonAcquittal(fingerprint, server))
+	}
+}
+
+func (h *handler[P]) hear(now time.Time, notice brrequest.PoisonNotice) {
+	switch {
+	case notice.Acquits():
+		h.lifted(now, notice.Fingerprint(), h.watch.Acquit(now, notice.Fingerprint(), notice.Server()))
+	case notice.Lifted():
 		h.lift(now, notice.Fingerprint())
-	} else {
-		h.killed(now, notice)
+	case !h.killed(now, notice):
+		h.acquit(notice.Fingerprint(), notice.Server())
 	}
 	if notice.Relayed() {
 		h.teller.Tell(notice)
 	}
 }
 
-func (h *handler) killed(now time.Time, notice brrequest.PoisonNotice) {
-	if h.watch.Killed(now, notice.Fingerprint(), notice.Server()) {
+// suspect takes note of a server's death that this VM has seen.
+func (h *handler[P]) suspect(now time.Time, notice brrequest.PoisonNotice) {
+	if !h.killed(now, notice) {
+		return
+	}
+	h.events.Record(brevent.New(brevent.KindPoisonSuspected).
+		WithResource(notice.Server()).
+		WithDetail("fingerprint", notice.Fingerprint().String()))
+	h.teller.Tell(notice)
+}
+
+// killed takes note of a server's death. It returns false where the request is
+// known to be harmless.
+func (h *handler[P]) killed(now time.Time, notice brrequest.PoisonNotice) bool {
+	finding := h.watch.Killed(now, notice.Fingerprint(), notice.Server())
+	if finding == brpoison.Condemned {
+		h.publish(now)
 		h.events.Record(brevent.New(brevent.KindPoisonRefused).
 			WithResource(notice.Server()).
 			WithDetail("fingerprint", notice.Fingerprint().String()))
 	}
+	return finding != brpoison.Acquitted
 }
 
-func (h *handler) lift(now time.Time, fingerprint brrequest.Fingerprint) bool {
+func (h *handler[P]) lift(now time.Time, fingerprint brrequest.Fingerprint) bool {
 	lifted := h.watch.Lift(now, fingerprint)
-	if lifted {
+	h.lifted(now, fingerprint, lifted)
+	return lifted
+}
+
+// lifted reports a refusal that has ended, if there was one.
+func (h *handler[P]) lifted(now time.Time, fingerprint brrequest.Fingerprint, was bool) {
+	if was {
+		h.publish(now)
 		h.events.Record(brevent.New(brevent.KindPoisonLifted).WithDetail("fingerprint", fingerprint.String()))
 	}
-	return lifted
 }
--- a/internal/model/brevent/request.go
+++ b/internal/model/brevent/request.go
@@ -8,6 +8,8 @@
 	KindRequestForwarded Kind = "request-forwarded"
 	// KindPoisonRefused means that requests of a fingerprint are refused from now on.
 	KindPoisonRefused Kind = "poison-refused"
+	// KindPoisonSuspected says that a server died while it ran a request.
+	KindPoisonSuspected Kind = "poison-suspected"
 	// KindPoisonLifted means that requests of a fingerprint may run again.
 	KindPoisonLifted Kind = "poison-lifted"
 )
--- a/internal/model/brstanding/standing.go
+++ b/internal/model/brstanding/standing.go
@@ -1,6 +1,7 @@
 // Package brstanding provides what VMs tell each other of the fleet beside the
-// records of the store: who lives, how much each organisation asks, and how the
-// versions that rollouts bring in fare. All of it is immutable.
+// records of the store: who lives, how much each organisation asks, how the
+// versions that rollouts bring in fare, and which requests kill servers. All of
+// it is immutable.
 //
 // # Usage
 //
@@ -12,6 +13,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
 )
 
 // Tally counts the answers of a service during a rollout. It is immutable.
@@ -83,6 +86,7 @@
 	members []string           // ordered
 	demands map[string]float64 // requests a second, by organisation
 	tallies map[uint64]Tally   // by revision of the rollout's order
+	poison  []brrequest.PoisonNotice
 }
 
 // New returns a standing: the VMs that live and serve, what they are asked, and
@@ -92,6 +96,17 @@
 	return Standing{members: slices.Sorted(slices.Values(members)), demands: demands, tallies: tallies}
 }
 
+// WithPoison returns the standing with what is told of requests that kill
+// servers. The slice must not be changed afterwards.
+func (s Standing) WithPoison(notices []brrequest.PoisonNotice) Standing {
+	s.poison = notices
+	return s
+}
+
+// Poison returns what is told of requests that kill servers, each notice once.
+// The slice must not be changed.
+func (s Standing) Poison() []brrequest.PoisonNotice { return s.poison }
+
 // Members returns the VMs that live and serve, in order. The slice must not be changed.
 func (s Standing) Members() []string { return s.members }
 
@@ -129,5 +144,17 @@
 	for revision, tally := range o.tallies {
 		tallies[revision] = tallies[revision].Plus(tally)
 	}
-	return New(slices.Compact(slices.Sorted(slices.Values(slices.Concat(s.members, o.members)))), demands, tallies)
+	return New(slices.Compact(slices.Sorted(slices.Values(slices.Concat(s.members, o.members)))), demands, tallies).
+		WithPoison(union(s.poison, o.poison))
+}
+
+// union returns the notices of two lists, each once. There are few.
+func union(a, b []brrequest.PoisonNotice) []brrequest.PoisonNotice {
+	list := slices.Clone(a)
+	for _, notice := range b {
+		if !slices.Contains(a, notice) {
+			list = append(list, notice)
+		}
+	}
+	return list
 }
--- a/internal/peer/brentry/poison.go
+++ b/internal/peer/brentry/poison.go
@@ -23,17 +23,39 @@
 
 // Tell hands a notice on.
 func (s *poisonServer) Tell(_ context.Context, m *brentrypb.PoisonNotice) (*brentrypb.PoisonReply, error) {
+	notice, ok := noticeOf(m)
+	if !ok {
+		return nil, twirp.InvalidArgumentError("fingerprint", "has another length")
+	}
+	s.poisoning.Hear(notice.WithRelayed(m.GetRelay()))
+	return &brentrypb.PoisonReply{}, nil
+}
+
+// noticeOf returns false where the fingerprint has another length.
+func noticeOf(m *brentrypb.PoisonNotice) (brrequest.PoisonNotice, bool) {
 	fingerprint := brrequest.Fingerprint{}
 	if len(m.GetFingerprint()) != len(fingerprint) {
-		return nil, twirp.InvalidArgumentError("fingerprint", "has another length")
+		return brrequest.PoisonNotice{}, false
 	}
 	copy(fingerprint[:], m.GetFingerprint())
-	notice := brrequest.NewPoisonNotice(fingerprint, m.GetServer())
-	if m.GetLifted() {
-		notice = brrequest.NewPoisonLift(fingerprint)
+	switch {
+	case m.GetLifted() && m.GetServer() != "":
+		return brrequest.NewPoisonAcquittal(fingerprint, m.GetServer()), true
+	case m.GetLifted():
+		return brrequest.NewPoisonLift(fingerprint), true
+	default:
+		return brrequest.NewPoisonNotice(fingerprint, m.GetServer()), true
+	}
+}
+
+func noticeMessage(notice brrequest.PoisonNotice) *brentrypb.PoisonNotice {
+	fingerprint := notice.Fingerprint()
+	return &brentrypb.PoisonNotice{
+		Fingerprint: fingerprint[:],
+		Server:      notice.Server(),
+		Lifted:      notice.Lifted(),
+		Relay:       notice.Relayed(),
 	}
-	s.poisoning.Hear(notice.WithRelayed(m.GetRelay()))
-	return &brentrypb.PoisonReply{}, nil
 }
 
 // WithPoison returns the peers' front that also hears of poison requests.
@@ -57,13 +79,7 @@
 
 // TellPoison gives a notice to the VM at an address, host:port.
 func (t *Teller) TellPoison(ctx context.Context, address string, notice brrequest.PoisonNotice) error {
-	fingerprint := notice.Fingerprint()
-	_, err := brentrypb.NewPoisonProtobufClient("http://"+address, t.client).Tell(ctx, &brentrypb.PoisonNotice{
-		Fingerprint: fingerprint[:],
-		Server:      notice.Server(),
-		Lifted:      notice.Lifted(),
-		Relay:       notice.Relayed(),
-	})
+	_, err := brentrypb.NewPoisonProtobufClient("http://"+address, t.client).Tell(ctx, noticeMessage(notice))
 	if err != nil {
 		return errors.Errorf("tell %s of poison request: %w", address, err)
 	}
--- a/internal/peer/brentry/sync.go
+++ b/internal/peer/brentry/sync.go
@@ -10,6 +10,7 @@
 	"github.com/twitchtv/twirp"
 
 	"bergamotroad.example/bergamotroad/internal/model/brrecord"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
 	"bergamotroad.example/bergamotroad/internal/model/brstanding"
 	"bergamotroad.example/bergamotroad/internal/model/brsync"
 	"bergamotroad.example/bergamotroad/internal/peer/brentrypb"
@@ -141,6 +142,9 @@
 			AgeMilliseconds: uint32(max(t.Age().Milliseconds(), 0)),
 		}
 	}
+	for _, notice := range standing.Poison() {
+		message.Poison = append(message.Poison, noticeMessage(notice))
+	}
 	return message
 }
 
@@ -150,7 +154,13 @@
 		tallies[revision] = brstanding.NewTally(t.GetTargetGood(), t.GetTargetBad(), t.GetOldGood(), t.GetOldBad()).
 			WithAge(time.Duration(t.GetAgeMilliseconds()) * time.Millisecond)
 	}
-	return brstanding.New(message.GetMembers(), message.GetDemands(), tallies)
+	notices := []brrequest.PoisonNotice{}
+	for _, m := range message.GetPoison() {
+		if notice, ok := noticeOf(m); ok {
+			notices = append(notices, notice)
+		}
+	}
+	return brstanding.New(message.GetMembers(), message.GetDemands(), tallies).WithPoison(notices)
 }
 
 // SyncClient reaches the Syncers of other VMs.
--- a/internal/service/brcarrier/attempt.go
+++ b/internal/service/brcarrier/attempt.go
@@ -37,6 +37,8 @@
 	// maxKeptAnswer is the largest answer that is read whole before it is passed
 	// on, so that one that is cut can be asked for again.
 	maxKeptAnswer = 256 << 10 // bytes
+	// probeTime bounds the look at a server that broke off: a round trip between regions.
+	probeTime = 100 * time.Millisecond
 	// slowFactor is how many times the time for an answer makes a version's
 	// answer a bad one.
 	slowFactor = 4
@@ -55,7 +57,7 @@
 	}
 	for {
 		end := c.send(ctx, j, answer.Choice())
-		if end.final || !mayTryAgain(ctx, j, end) {
+		if end.final || !c.mayTryAgain(ctx, j, end) {
 			return conclude(j, end)
 		}
 		again, err := c.placing.Retry(ctx, j.ask)
@@ -126,10 +128,13 @@
 	return end.result
 }
 
-func mayTryAgain(ctx context.Context, j *job, end ending) bool {
+func (c *Carrier) mayTryAgain(ctx context.Context, j *job, end ending) bool {
 	if ctx.Err() != nil || j.tries >= maxTries || j.streams {
 		return false
 	}
+	if _, poisoned := c.poisoned(j); poisoned {
+		return false
+	}
 	if end.result.fate == brrequest.FateNotRun {
 		return true
 	}
@@ -149,12 +154,12 @@
 	if end.result.fate != brrequest.FateNotRun {
 		j.runs++
 	}
-	c.settle(j, server, kind, took, load)
+	c.settle(ctx, j, server, kind, took, load)
 	c.measures.attempt(kind, took)
 	return end
 }
 
-func (c *Carrier) settle(j *job, server brfleet.Server, kind brrequest.OutcomeKind, took time.Duration, load broption.Option[brfleet.Load]) {
+func (c *Carrier) settle(ctx context.Context, j *job, server brfleet.Server, kind brrequest.OutcomeKind, took time.Duration, load broption.Option[brfleet.Load]) {
 	verdict := brplacing.Verdict{}
 	slow := j.route.Objective() > 0 && took > slowFactor*j.route.Objective()
 	switch kind {
@@ -172,7 +177,22 @@
 	if kind != brrequest.OutcomeAnswered {
 		latency = 0
 	}
-	c.placing.Settle(brplace.NewOutcome(server.ID(), kind, latency).WithLoad(load), verdict)
+	outcome := brplace.NewOutcome(server.ID(), kind, latency).
+		WithLoad(load).
+		WithRequest(j.fingerprint).
+		WithDead(kind == brrequest.OutcomeBroken && c.isDead(ctx, server))
+	c.placing.Settle(outcome, verdict)
+	if kind == brrequest.OutcomeAnswered || kind == brrequest.OutcomeFault {
+		c.poisoning.Ran(j.fingerprint)
+	}
+}
+
+// isDead reports whether a server that broke off has died, before the request
+// may go to another server.
+func (c *Carrier) isDead(ctx context.Context, server brfleet.Server) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTime)
+	defer cancel()
+	return c.upstream.IsDead(ctx, server)
 }
 
 // outcome reads an answer, or tells how the try ended without one.
--- a/internal/service/brcarrier/carrier.go
+++ b/internal/service/brcarrier/carrier.go
@@ -1,13 +1,13 @@
 // Package brcarrier carries one caller's request to a backend server and the
 // answer back, on the goroutine that the front end gave it.
 //
-// A request passes the configuration, its organisation's quota and the choice
-// of a server. It is sent again only where that is safe, and ends at the moment
+// A request passes the configuration, the list of requests of which servers die,
+// its organisation's quota and the choice of a server. It is sent again only where that is safe, and ends at the moment
 // at which its route or its caller gives up.
 //
 // # Usage
 //
-//	carrier := brcarrier.New(clock, replicating, metering, placing, upstream, journal)
+//	carrier := brcarrier.New(clock, replicating, metering, placing, poisoning, upstream, journal)
 //	result := carrier.Carry(ctx, request, call, writer)
 //	if !result.Started() {
 //		// write a refusal with result.Reason() and result.RetryAfter()
@@ -35,6 +35,8 @@
 type Upstream interface {
 	// Send sends a request once, with the errors of brbackend.
 	Send(ctx context.Context, server brfleet.Server, request brrequest.Request, organisation string, left time.Duration, call brmessage.Call) (*brmessage.Answer, broption.Option[brfleet.Load], error)
+	// IsDead reports whether nothing listens at a server's address any more.
+	IsDead(ctx context.Context, server brfleet.Server) bool
 }
 
 // Replica tells what the VM believes of the fleet.
@@ -61,6 +63,14 @@
 	Settle(outcome brplace.Outcome, verdict brplacing.Verdict)
 }
 
+// Poisoning knows the requests of which servers die.
+type Poisoning interface {
+	// Refused returns until when a request is refused, if it is.
+	Refused(fingerprint brrequest.Fingerprint) (time.Time, bool)
+	// Ran tells that a server ran a request to its end.
+	Ran(fingerprint brrequest.Fingerprint)
+}
+
 // Journal takes the decisions.
 type Journal interface {
 	// Decision reports a decision about a request that went as it should.
@@ -79,19 +89,20 @@
 
 // Carrier carries requests.
 type Carrier struct {
-	clock    brclock.Clock
-	replica  Replica
-	metering Metering
-	placing  Placing
-	upstream Upstream
-	journal  Journal
-	measures measures
+	clock     brclock.Clock
+	replica   Replica
+	metering  Metering
+	placing   Placing
+	poisoning Poisoning
+	upstream  Upstream
+	journal   Journal
+	measures  measures
 }
 
 // New returns the carrier of a VM.
-func New(clock brclock.Clock, replica Replica, metering Metering, placing Placing, upstream Upstream, journal Journal) *Carrier {
+func New(clock brclock.Clock, replica Replica, metering Metering, placing Placing, poisoning Poisoning, upstream Upstream, journal Journal) *Carrier {
 	return &Carrier{
-		clock: clock, replica: replica, metering: metering, placing: placing,
+		clock: clock, replica: replica, metering: metering, placing: placing, poisoning: poisoning,
 		upstream: upstream, journal: journal, measures: newMeasures(),
 	}
 }
@@ -148,6 +159,11 @@
 	if err := j.readBody(); err != nil {
 		return refused(brrequest.ReasonCallerGone, 0)
 	}
+	j.recognise()
+	if left, ok := c.poisoned(j); ok {
+		c.journal.Failure(j.request.ID(), "kills servers", "fingerprint", j.fingerprint.String(), "refused_for_ms", left.Milliseconds())
+		return refused(brrequest.ReasonPoison, left)
+	}
 	if result, ok := c.meter(ctx, j); !ok {
 		return result
 	}
@@ -180,6 +196,13 @@
 	return Result{}, true
 }
 
+// poisoned returns for how long a request of which servers die is refused.
+func (c *Carrier) poisoned(j *job) (time.Duration, bool) {
+	until, ok := c.poisoning.Refused(j.fingerprint)
+	left := until.Sub(c.clock.Now())
+	return left, ok && left > 0
+}
+
 func (c *Carrier) meter(ctx context.Context, j *job) (Result, bool) {
 	if !j.organisation.Limited() {
 		return Result{}, true
--- a/internal/service/brcarrier/job.go
+++ b/internal/service/brcarrier/job.go
@@ -38,6 +38,7 @@
 	service      string
 	giveUp       time.Time
 	body         []byte
+	fingerprint  brrequest.Fingerprint
 	streams      bool
 	ask          brplace.Ask
 	runs         int // servers that may have run the request
@@ -119,6 +120,12 @@
 	return nil
 }
 
+// recognise takes the request's fingerprint: who sends what.
+func (j *job) recognise() {
+	caller := j.route.Name() + " " + j.organisation.Name()
+	j.fingerprint = brrequest.NewFingerprint(caller, j.call.Method(), j.call.Target(), j.body, j.call.Size())
+}
+
 // attempt returns the call for one more try.
 func (j *job) attempt() brmessage.Call {
 	fields := j.call.Fields().Clone()
--- a/internal/service/brdispatch/claim_world_test.go
+++ b/internal/service/brdispatch/claim_world_test.go
@@ -265,7 +265,7 @@
 
 func (*claimVM) Killed(brrequest.Fingerprint, string) {}
 
-func (*claimVM) IsDead(context.Context, brconfig.Server) bool { return false }
+func (*claimVM) IsDead(context.Context, string) bool { return false }
 
 func (*claimVM) Forward(context.Context, brrequest.Target, brrequest.Request, brrequest.Verdict, brmessage.Call) (*brmessage.Answer, error) {
 	return nil, brbackend.NewErrNotSent(errBroken)
--- a/internal/service/brdispatch/dispatcher.go
+++ b/internal/service/brdispatch/dispatcher.go
@@ -84,8 +84,8 @@
 // Backend sends requests to backend servers.
 type Backend interface {
 	brbackend.Backend
-	// IsDead reports whether a server refuses new connections.
-	IsDead(ctx context.Context, server brconfig.Server) bool
+	// IsDead reports whether the server at an address, host:port, refuses new connections.
+	IsDead(ctx context.Context, address string) bool
 }
 
 // Entry sends requests to other entry VMs.
--- a/internal/service/brdispatch/fake_test.go
+++ b/internal/service/brdispatch/fake_test.go
@@ -39,7 +39,7 @@
 	runs     map[string]int
 	events   []brevent.Event
 	inFlight int
-	watch    *brpoison.Watch
+	watch    *brpoison.Watch[brpoison.Sparing]
 	poison   string // target that kills servers
 	dead     map[string]bool
 	receiver *brdispatch.Dispatcher
@@ -47,7 +47,7 @@
 }
 
 func newWorld(t *rapid.T, servers int, repeat brconfig.Repeat) (*world, *brdispatch.Dispatcher) {
-	w := &world{t: t, runs: map[string]int{}, dead: map[string]bool{}, watch: brpoison.NewWatch()}
+	w := &world{t: t, runs: map[string]int{}, dead: map[string]bool{}, watch: brpoison.NewWatch[brpoison.Sparing]()}
 	for i := range servers {
 		w.servers = append(w.servers, fmt.Sprint("server-", i))
 	}
@@ -74,7 +74,7 @@
 	for _, name := range w.servers {
 		if !placement.Avoids(name) && !w.dead[name] {
 			w.inFlight++
-			return brconfig.NewServer(brconfig.NewMeta(name), "ledger", "este-a", "", 1), nil
+			return brconfig.NewServer(brconfig.NewMeta(name), "ledger", "este-a", name, 1), nil
 		}
 	}
 	return brconfig.Server{}, errBroken
@@ -96,7 +96,7 @@
 	return w.watch.Begin(time.Time{}.Add(time.Second), f)
 }
 
-func (w *world) Ran(f brrequest.Fingerprint) { w.watch.Ran(f) }
+func (w *world) Ran(f brrequest.Fingerprint) { w.watch.Ran(time.Time{}.Add(time.Second), f) }
 
 func (w *world) Ended(f brrequest.Fingerprint) { w.watch.Ended(f) }
 
@@ -104,7 +104,7 @@
 	w.watch.Killed(time.Time{}.Add(time.Second), f, server)
 }
 
-func (w *world) IsDead(_ context.Context, server brconfig.Server) bool { return w.dead[server.Name()] }
+func (w *world) IsDead(_ context.Context, address string) bool { return w.dead[address] }
 
 func (w *world) Record(event brevent.Event) { w.events = append(w.events, event) }
 
--- a/internal/service/brdispatch/suspect.go
+++ b/internal/service/brdispatch/suspect.go
@@ -30,7 +30,7 @@
 		if !d.sleep(ctx, pause) {
 			return false
 		}
-		if d.backend.IsDead(ctx, server) {
+		if d.backend.IsDead(ctx, server.Address()) {
 			return true
 		}
 	}
--- /dev/null
+++ b/internal/service/brentryvm/events.go
@@ -0,0 +1,20 @@
+package brentryvm
+
+import (
+	"bergamotroad.example/bergamotroad/internal/duty/brjournal"
+	"bergamotroad.example/bergamotroad/internal/model/brevent"
+)
+
+// events puts events of the time line into the log.
+type events struct {
+	journal *brjournal.Journal
+}
+
+// Record writes an event as a change of what the VM believes.
+func (e events) Record(event brevent.Event) {
+	fields := []any{"resource", event.Resource()}
+	for name, value := range event.Details().All() {
+		fields = append(fields, name, value)
+	}
+	e.journal.Belief(string(event.Kind()), fields...)
+}
--- a/internal/service/brentryvm/vm.go
+++ b/internal/service/brentryvm/vm.go
@@ -19,12 +19,14 @@
 
 	"bergamotroad.example/bergamotroad/internal/core/brclock"
 	"bergamotroad.example/bergamotroad/internal/core/brduty"
+	"bergamotroad.example/bergamotroad/internal/decide/brpoison"
 	"bergamotroad.example/bergamotroad/internal/duty/brcounting"
 	"bergamotroad.example/bergamotroad/internal/duty/brexchanging"
 	"bergamotroad.example/bergamotroad/internal/duty/brjournal"
 	"bergamotroad.example/bergamotroad/internal/duty/brjudging"
 	"bergamotroad.example/bergamotroad/internal/duty/brmetering"
 	"bergamotroad.example/bergamotroad/internal/duty/brplacing"
+	"bergamotroad.example/bergamotroad/internal/duty/brpoisoning"
 	"bergamotroad.example/bergamotroad/internal/duty/brreading"
 	"bergamotroad.example/bergamotroad/internal/duty/brrecording"
 	"bergamotroad.example/bergamotroad/internal/duty/brregistering"
@@ -103,14 +105,16 @@
 
 // addCarrier adds the duties that requests pass.
 func (v *VM) addCarrier(adapter Adapter) *brcarrier.Carrier {
-	placing := brplacing.New(v.clock, v.site.self, v.counting)
+	poisoning := brpoisoning.New[brpoison.Prompt](v.clock, events{journal: v.journal}, v.counting)
+	v.counting.ListenWith(poisoning)
+	placing := brplacing.New(v.clock, v.site.self, v.counting, poisoning)
 	v.replicating.Subscribe(placing.Views())
 	v.metering = brmetering.New(v.clock, v.site.bounds, v.counting, v.replicating)
 	recording := brrecording.New(v.clock, adapter.registry, v.journal)
 	judging := brjudging.New(v.clock, v.site.self, v.Bounds, v.replicating, v.counting, placing, recording, v.journal)
-	v.duties = append(v.duties, placing.Duty(), v.metering.Duty(), recording.Duty(), judging.Duty())
+	v.duties = append(v.duties, poisoning.Duty(), placing.Duty(), v.metering.Duty(), recording.Duty(), judging.Duty())
 	meter := brmeter.New(v.clock, v.site.self.Name(), v.metering, v.sourcing, v.client)
-	return brcarrier.New(v.clock, v.replicating, meter, placing, adapter.upstream, v.journal)
+	return brcarrier.New(v.clock, v.replicating, meter, placing, poisoning, adapter.upstream, v.journal)
 }
 
 func otherRegions(site Site) []string {
--- a/internal/service/brnode/requests.go
+++ b/internal/service/brnode/requests.go
@@ -5,6 +5,7 @@
 
 	"bergamotroad.example/bergamotroad/internal/core/brclock"
 	"bergamotroad.example/bergamotroad/internal/core/brduty"
+	"bergamotroad.example/bergamotroad/internal/decide/brpoison"
 	"bergamotroad.example/bergamotroad/internal/duty/brforwarding"
 	"bergamotroad.example/bergamotroad/internal/duty/brpacing"
 	"bergamotroad.example/bergamotroad/internal/duty/brpoisoning"
@@ -23,7 +24,7 @@
 	retrying   *brretrying.Retrying
 	forwarding *brforwarding.Forwarding
 	telling    *brtelling.Telling
-	poisoning  *brpoisoning.Poisoning
+	poisoning  *brpoisoning.Poisoning[brpoison.Sparing]
 	pacing     *brpacing.Pacing
 }
 
@@ -34,7 +35,7 @@
 		forwarding: brforwarding.New(settings.Domain(), clock),
 		telling:    telling,
 		pacing:     brpacing.New(settings.Domain(), clock),
-		poisoning:  brpoisoning.New(clock, events, telling),
+		poisoning:  brpoisoning.New[brpoison.Sparing](clock, events, telling),
 	}
 }
 
