Believe what other VMs have at a server to stay, and wait at servers that know

In the region to which the hot organisation is bound the median answer took 472 ms of an objective of 300, while known work takes 153: queues were some three times as long as the VMs believed. A VM halved what it had heard of others each 300 ms, though others replace their requests as they end. Change: what others usually have at a server is forgotten slowly, only what goes beyond it quickly (brplace/crowd.go). A request is offered a short wait at its first server, then one at a server that this VM sent the object to lately, then a longer wait at the first, and only then a server that may not know it (offer.go, memory.go).

Soak: callers also repeat a request that kills servers; one request in eight takes 400 ms; a cut in planned work counts also where the VM was disturbed before. Deaths are told again while a request is refused.

--- /dev/null
+++ b/internal/decide/brplace/load_test.go
@@ -0,0 +1,247 @@
+package brplace_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"bergamotroad.example/bergamotroad/internal/core/broption"
+	"bergamotroad.example/bergamotroad/internal/decide/brplace"
+	"bergamotroad.example/bergamotroad/internal/model/brfleet"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+)
+
+// The simulated servers, after the users' description: they have some slots and
+// a queue, and remember some objects, which they handle several times quicker.
+const (
+	loadSlots     = 8
+	loadQueue     = 24
+	loadKeeps     = 68
+	knownWork     = 150 * time.Millisecond
+	strangeWork   = 480 * time.Millisecond
+	loadObjective = 300 * time.Millisecond
+	loadDeadline  = 2500 * time.Millisecond
+	loadTravel    = 10 * time.Millisecond // one way
+	loadPatience  = loadObjective / 8
+)
+
+// loadFleet is some VMs over servers that remember objects, in virtual time.
+type loadFleet struct {
+	now     time.Time
+	random  *rand.Rand
+	vms     []*brplace.Placer
+	servers map[string]*loadServer
+	queue   events
+	inTime  int
+	late    int
+	back    int // served after they came back from a refusal, late in any case
+	refused int
+	strange int
+}
+
+type loadServer struct {
+	running int
+	waiting []func()
+	known   map[string]time.Time
+}
+
+type loadEvent struct {
+	at  time.Time
+	run func()
+}
+
+// events is a heap of what comes next.
+type events []loadEvent
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+
+// Push implements heap.Interface.
+func (e *events) Push(x any) { *e = append(*e, x.(loadEvent)) }
+
+// Pop implements heap.Interface.
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+func newLoadFleet(seed uint64, vms int, list []brfleet.Server) *loadFleet {
+	f := &loadFleet{now: start, random: rand.New(rand.NewPCG(seed, 9)), servers: map[string]*loadServer{}}
+	for i, s := range list {
+		list[i] = s.WithSlots(loadSlots)
+		f.servers[s.ID()] = &loadServer{known: map[string]time.Time{}}
+	}
+	v := view(list, nil, nil)
+	for i := range vms {
+		f.vms = append(f.vms, newPlacer(fmt.Sprint("vm-", i), domains[i%len(domains)].region, v))
+	}
+	return f
+}
+
+func (f *loadFleet) after(length time.Duration, run func()) {
+	heap.Push(&f.queue, loadEvent{at: f.now.Add(length), run: run})
+}
+
+// play sends requests at a rate, whose objects object draws, for a time.
+func (f *loadFleet) play(length time.Duration, rate float64, object func() string) {
+	end := f.now.Add(length)
+	var next func()
+	next = func() {
+		if !f.now.Before(end) {
+			return
+		}
+		f.request(object())
+		f.after(time.Duration(f.random.ExpFloat64()/rate*float64(time.Second)), next)
+	}
+	f.after(0, next)
+	for len(f.queue) > 0 && f.queue[0].at.Before(end) {
+		e := heap.Pop(&f.queue).(loadEvent)
+		f.now = e.at
+		e.run()
+	}
+}
+
+func (f *loadFleet) request(object string) {
+	vm := f.vms[f.random.IntN(len(f.vms))]
+	f.place(vm, object, f.now, f.now.Add(loadPatience))
+}
+
+// place finds a server, or waits for one and comes back once after a refusal.
+func (f *loadFleet) place(vm *brplace.Placer, object string, sent, until time.Time) {
+	a := brplace.NewAsk(object, "lookup").WithObject(object).WithTimes(loadObjective, sent.Add(loadDeadline))
+	choice, ok := vm.Pick(f.now, a)
+	switch {
+	case ok:
+		id := choice.Server().ID()
+		f.after(loadTravel, func() { f.arrive(vm, id, object, sent) })
+	case f.now.Before(until):
+		f.after(15*time.Millisecond, func() { f.place(vm, object, sent, until) })
+	case f.now.Sub(sent) < loadObjective:
+		back := loadObjective + time.Duration(f.random.Int64N(int64(loadObjective)))
+		f.after(back, func() { f.place(vm, object, sent, f.now.Add(loadPatience)) })
+	default:
+		f.refused++
+	}
+}
+
+func (f *loadFleet) arrive(vm *brplace.Placer, id, object string, sent time.Time) {
+	s := f.servers[id]
+	if s.running >= loadSlots && len(s.waiting) >= loadQueue {
+		f.settle(vm, id, brrequest.OutcomeShed, 0)
+		f.refused++
+		return
+	}
+	began := f.now
+	run := func() {
+		s.running++
+		f.after(s.work(f.now, object, &f.strange), func() { f.finish(vm, id, object, sent, began) })
+	}
+	if s.running < loadSlots {
+		run()
+		return
+	}
+	s.waiting = append(s.waiting, run)
+}
+
+// work returns how long a server takes for an object; it then knows it.
+func (s *loadServer) work(now time.Time, object string, strange *int) time.Duration {
+	_, known := s.known[object]
+	s.known[object] = now
+	if known {
+		return knownWork
+	}
+	*strange++
+	if len(s.known) > loadKeeps {
+		oldest, at := "", now.Add(time.Hour)
+		for o, t := range s.known {
+			if t.Before(at) || t.Equal(at) && o < oldest {
+				oldest, at = o, t
+			}
+		}
+		delete(s.known, oldest)
+	}
+	return strangeWork
+}
+
+func (f *loadFleet) finish(vm *brplace.Placer, id, object string, sent, began time.Time) {
+	s := f.servers[id]
+	s.running--
+	if len(s.waiting) > 0 {
+		next := s.waiting[0]
+		s.waiting = s.waiting[1:]
+		next()
+	}
+	latency := f.now.Sub(began)
+	f.after(loadTravel, func() {
+		f.settle(vm, id, brrequest.OutcomeAnswered, latency)
+		switch took := f.now.Sub(sent); {
+		case took <= loadObjective:
+			f.inTime++
+		case began.Sub(sent) > loadObjective:
+			f.back++
+		default:
+			f.late++
+		}
+	})
+}
+
+func (f *loadFleet) settle(vm *brplace.Placer, id string, kind brrequest.OutcomeKind, latency time.Duration) {
+	s := f.servers[id]
+	load := broption.Some(brfleet.NewLoad(s.running, len(s.waiting)))
+	vm.Settle(f.now, brplace.NewOutcome(id, kind, latency).WithLoad(load))
+}
+
+// popular draws one of count objects, the first the most often.
+func (f *loadFleet) popular(count int) string {
+	rank := math.Pow(float64(count), f.random.Float64())
+	return fmt.Sprint("object-", int(rank))
+}
+
+func (f *loadFleet) share() float64 {
+	return float64(f.inTime) / float64(max(f.inTime+f.late+f.back+f.refused, 1))
+}
+
+func (f *loadFleet) String() string {
+	return fmt.Sprintf("%d in time, %d late, %d came back, %d refused, %d at servers that did not know the object", f.inTime, f.late, f.back, f.refused, f.strange)
+}
+
+// Pattern: the fleet starts without any memory under nine tenths of the load that
+// it carries once each object is known, through VMs that share the servers
+// without a word. It gets out of the state in which most run as strangers.
+func TestFleetWarmsUpUnderLoad(t *testing.T) {
+	for seed := range uint64(3) {
+		f := playLoad(seed, 0.9)
+		t.Logf("seed %d: %s", seed, f)
+		require.Greater(t, f.share(), 0.5, "seed %d: %s", seed, f)
+	}
+}
+
+// Pattern: callers ask nearly twice what the fleet carries. What it serves at
+// once is mostly in time, since it keeps the queues short and refuses the rest.
+func TestWhatIsServedUnderOverloadIsInTime(t *testing.T) {
+	for seed := range uint64(3) {
+		f := playLoad(seed, 1.8)
+		t.Logf("seed %d: %s", seed, f)
+		require.Greater(t, f.inTime, f.late, "seed %d: %s", seed, f)
+	}
+}
+
+// playLoad plays a fleet at a part of the load that it carries once each object is
+// known, and counts from the time on at which it had time to learn them.
+func playLoad(seed uint64, part float64) *loadFleet {
+	const count = 12
+	f := newLoadFleet(seed, 9, servers(count))
+	rate := part * count * loadSlots / knownWork.Seconds()
+	f.play(10*time.Second, rate, func() string { return f.popular(200) })
+	f.inTime, f.late, f.back, f.refused, f.strange = 0, 0, 0, 0, 0
+	f.play(10*time.Second, rate, func() string { return f.popular(200) })
+	return f
+}
--- a/internal/decide/brplace/placer.go
+++ b/internal/decide/brplace/placer.go
@@ -27,17 +27,9 @@
 )
 
 const (
-	// knownServers is how many servers an object is kept to when its service is busy.
-	knownServers = 2
-	// calmServers is how many servers may get an object when its service has room.
-	calmServers = 4
 	// busyLoad is the load of a service, in parts of its slots, from which
 	// objects are kept to the servers that know them.
 	busyLoad = 0.6
-	// firstQueue and nextQueue are how many requests may wait at a server that
-	// knows the object, in parts of its slots, before another is looked at.
-	firstQueue = 0.67
-	nextQueue  = 0.34
 	// homeShare is how much of the objects of a region with its even part of the
 	// slots stays there. The rest evens out what regions are asked.
 	homeShare = 0.65
@@ -186,18 +178,12 @@
 	}
 	order := rank(ask.affinity(), candidates, p.belongs(ask, candidates))
 	near := order[:min(s.spread(now), len(order))]
-	for i, r := range near {
-		if p.free(now, s, r.server, 0) {
-			return p.take(now, s, r.server, i, len(candidates)), true
-		}
-	}
-	for i, r := range near[:min(knownServers, len(near))] {
-		queue := nextQueue
-		if i == 0 {
-			queue = firstQueue
-		}
-		if p.free(now, s, r.server, queue) {
-			return p.take(now, s, r.server, i, len(candidates)), true
+	for _, o := range offers {
+		for i, r := range near {
+			if o.covers(now, ask, i, r.server) && p.free(now, s, r.server, o.queue) {
+				r.server.memory.add(now, ask.object)
+				return p.take(now, s, r.server, i, len(candidates)), true
+			}
 		}
 	}
 	return Choice{}, false
--- a/internal/decide/brplace/server.go
+++ b/internal/decide/brplace/server.go
@@ -9,9 +9,12 @@
 )
 
 const (
-	// othersHalfLife is the time in which half of the requests that other VMs
-	// had at a server are taken to have ended: about one request's work.
+	// othersHalfLife is the time in which half of what other VMs had at a server
+	// beyond their usual is taken to have ended: about one request's work.
 	othersHalfLife = 300 * time.Millisecond
+	// usualHalfLife is the time in which half of what other VMs usually have at a
+	// server is taken to be another: the pace at which traffic moves.
+	usualHalfLife = 1500 * time.Millisecond
 	// shedPause keeps requests away from a server that has just shed one: the
 	// time in which a slot becomes free at a full server.
 	shedPause = 60 * time.Millisecond
@@ -39,8 +42,7 @@
 	traits    brfleet.Server
 	hash      uint64  // of the identifier
 	mine      int     // requests of this VM at the server
-	others    float64 // requests of other VMs, when last told
-	othersAt  time.Time
+	others    crowd
 	pausedTo  time.Time
 	failures  int // in a row
 	faults    float64
@@ -49,19 +51,12 @@
 	coldUntil time.Time
 	cautious  bool // unreachable when last tried
 	pace      pacer
+	memory    memory
 	broken    []broken // requests that broke off, by time
 }
 
 func (s *server) load(now time.Time) float64 {
-	return float64(s.mine) + s.othersNow(now)
-}
-
-func (s *server) othersNow(now time.Time) float64 {
-	if s.others == 0 {
-		return 0
-	}
-	age := now.Sub(s.othersAt)
-	return s.others * math.Exp2(-float64(age)/float64(othersHalfLife))
+	return float64(s.mine) + s.others.now(now)
 }
 
 func (s *server) cold(now time.Time) bool { return now.Before(s.coldUntil) }
@@ -87,8 +82,7 @@
 func (s *server) settle(now time.Time, o Outcome) {
 	s.mine = max(s.mine-1, 0)
 	if load, ok := o.load.Get(); ok {
-		s.others = math.Max(float64(load.Running()+load.Waiting()-s.mine), 0)
-		s.othersAt = now
+		s.others.learn(now, math.Max(float64(load.Running()+load.Waiting()-s.mine), 0))
 	}
 	switch o.kind {
 	case brrequest.OutcomeAnswered:
@@ -139,8 +133,7 @@
 		return
 	}
 	if !told {
-		s.others = math.Max(s.others, float64(s.traits.Slots()))
-		s.othersAt = now
+		s.others.learn(now, math.Max(s.others.now(now), float64(s.traits.Slots())))
 	}
 	s.pause(now, shedPause)
 }
--- a/internal/decide/brpoison/policy.go
+++ b/internal/decide/brpoison/policy.go
@@ -7,9 +7,9 @@
 	Deadly() int
 	// Serial reports whether only one suspect runs at a time.
 	Serial() bool
-	// Acquits reports whether a VM tells the others that a suspect ran to its
-	// end there.
-	Acquits() bool
+	// Shared reports whether what VMs tell is summed up on its way, so that it
+	// costs little to tell more: what speaks for a request, and all of it again.
+	Shared() bool
 }
 
 // Sparing loses as few servers as can be: suspects wait for each other.
@@ -21,8 +21,8 @@
 // Serial reports that suspects wait for each other.
 func (Sparing) Serial() bool { return true }
 
-// Acquits reports that each VM finds out alone: a notice is a message to each VM.
-func (Sparing) Acquits() bool { return false }
+// Shared reports that a notice is a message to each VM.
+func (Sparing) Shared() bool { return false }
 
 // Prompt lets no suspect wait, for callers who give up within seconds, where
 // what VMs tell each other is summed up on its way.
@@ -34,5 +34,5 @@
 // Serial reports that suspects run side by side.
 func (Prompt) Serial() bool { return false }
 
-// Acquits reports that VMs tell of suspects that ran to their end.
-func (Prompt) Acquits() bool { return true }
+// Shared reports that notices travel in the reports of VMs.
+func (Prompt) Shared() bool { return true }
--- a/internal/decide/brpoison/watch.go
+++ b/internal/decide/brpoison/watch.go
@@ -165,8 +165,14 @@
 	return Condemned
 }
 
-// Acquits reports whether VMs tell the others of suspects that ran to their end.
-func (w *Watch[P]) Acquits() bool { return w.policy.Acquits() }
+// Shared reports whether what VMs tell is summed up on its way.
+func (w *Watch[P]) Shared() bool { return w.policy.Shared() }
+
+// Suspects reports whether deaths of servers are put down to a request.
+func (w *Watch[P]) Suspects(now time.Time, fingerprint brrequest.Fingerprint) bool {
+	_, suspected := w.suspects[fingerprint]
+	return suspected || w.refused[fingerprint].After(now)
+}
 
 // Lift ends the refusal of a request and reports whether there was one.
 func (w *Watch[P]) Lift(now time.Time, fingerprint brrequest.Fingerprint) bool {
--- a/internal/duty/brpoisoning/duty.go
+++ b/internal/duty/brpoisoning/duty.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,8 @@
 const (
 	queueCapacity = 4096 // messages
 	expiryPeriod  = 10 * time.Second
+	// maxSeen is how many deaths that this VM saw are told again; it bounds memory.
+	maxSeen = 256
 )
 
 // Teller tells other VMs.
@@ -148,6 +151,7 @@
 	teller  Teller
 	watch   *brpoison.Watch[P]
 	refused atomic.Pointer[refusals]
+	seen    []brrequest.PoisonNotice // deaths that this VM saw, oldest first
 }
 
 // Handle takes what happened, or a question.
@@ -179,6 +183,22 @@
 func (h *handler[P]) Tick(_ context.Context, now time.Time) {
 	h.watch.Expire(now)
 	h.publish(now)
+	h.tellAgain(now)
+}
+
+// tellAgain tells of the deaths that this VM saw while a request is refused for
+// them, so that VMs which start meanwhile refuse it too. Only who saw a death
+// repeats it, so that the word ends with the refusal.
+func (h *handler[P]) tellAgain(now time.Time) {
+	if !h.watch.Shared() {
+		return
+	}
+	h.seen = slices.DeleteFunc(h.seen, func(n brrequest.PoisonNotice) bool { return !h.watch.Suspects(now, n.Fingerprint()) })
+	for _, notice := range h.seen {
+		if h.watch.Begin(now, notice.Fingerprint()) == brpoison.Refused {
+			h.teller.Tell(notice)
+		}
+	}
 }
 
 // publish shows the refusals in force to whoever asks without waiting.
@@ -199,7 +219,7 @@
 
 // acquit tells the others that a server's death has another cause.
 func (h *handler[P]) acquit(fingerprint brrequest.Fingerprint, server string) {
-	if h.watch.Acquits() {
+	if h.watch.Shared() {
 		h.teller.Tell(brrequest.NewPoisonAcquittal(fingerprint, server))
 	}
 }
@@ -226,6 +246,9 @@
 	h.events.Record(brevent.New(brevent.KindPoisonSuspected).
 		WithResource(notice.Server()).
 		WithDetail("fingerprint", notice.Fingerprint().String()))
+	if len(h.seen) < maxSeen {
+		h.seen = append(h.seen, notice)
+	}
 	h.teller.Tell(notice)
 }
 
--- a/tests/soak/caller_test.go
+++ b/tests/soak/caller_test.go
@@ -14,8 +14,15 @@
 )
 
 const (
-	callersEach    = 4 // in each failure domain
-	usualPause     = 60 * time.Millisecond
+	callersEach = 4 // in each failure domain
+	usualPause  = 60 * time.Millisecond
+	longWork    = 400 * time.Millisecond // of one request in longShare
+	longShare   = 8
+	// deadlyPath begins the paths of requests that kill servers, and deadlyPause
+	// is the time between two of them.
+	deadlyPath     = "/look/deadly"
+	deadlyPause    = 500 * time.Millisecond
+	deadlyNumber   = 1000 // the first number of a caller that sends them
 	connectTimeout = time.Second
 )
 
@@ -33,6 +40,13 @@
 	served *atomic.Int64
 }
 
+func newCallerOf(w *world, seed uint64, number int, served *atomic.Int64) *callerOf {
+	return &callerOf{
+		world: w, number: number, domain: domains[number%len(domains)], caller: brstandin.NewCaller(),
+		random: rand.New(rand.NewPCG(seed, uint64(number)+1)), served: served,
+	}
+}
+
 // run sends requests until the context ends.
 func (c *callerOf) run(ctx context.Context) {
 	defer c.caller.Close()
@@ -112,11 +126,25 @@
 	c.sent++
 	id := fmt.Sprintf("c%d-%d", c.number, c.sent)
 	path := fmt.Sprintf("%s%d?q=%d", route.Prefix(), c.random.IntN(50), c.sent)
+	if c.random.IntN(longShare) == 0 {
+		path += fmt.Sprintf("&work=%d", longWork.Milliseconds())
+	}
 	call := brstandin.NewCall(id, "POST", path, strings.Repeat("w", c.random.IntN(40)), key, route.Timeout()+time.Second)
 	r := &request{call: call, route: route, organisation: organisation, vm: m.site.Name(), vmRegion: m.site.Region()}
 	c.send(ctx, m, r)
 }
 
+// isDeadly reports whether a call, "METHOD PATH BODY", kills the server that runs it.
+func isDeadly(call string) bool { return strings.Contains(call, " "+deadlyPath) }
+
+// deadly sends a request that kills the servers which begin to run it.
+func (c *callerOf) deadly(ctx context.Context, m *machine) {
+	route := firstRoutes()[0]
+	c.sent++
+	call := brstandin.NewCall(fmt.Sprintf("c%d-%d", c.number, c.sent), "POST", fmt.Sprint(deadlyPath, c.number), "", "key-depot", route.Timeout()+time.Second)
+	c.send(ctx, m, &request{call: call, route: route, organisation: "depot", vm: m.site.Name(), vmRegion: m.site.Region()})
+}
+
 // send sends a request; one in twenty callers leaves early.
 func (c *callerOf) send(ctx context.Context, m *machine, r *request) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/tests/soak/world_test.go
+++ b/tests/soak/world_test.go
@@ -23,7 +23,8 @@
 	firstPort      = 21001 // below the ports that outgoing connections take
 	serversPerPair = 2     // of each service in each failure domain
 	workTime       = 40 * time.Millisecond
-	blockCount     = 200 // blocks of loopback addresses
+	downTime       = 2 * time.Second // of a server that a request killed
+	blockCount     = 200             // blocks of loopback addresses
 )
 
 // services and the routes that lead to them at first.
@@ -176,6 +177,14 @@
 	s := brstandin.NewQuietServer(w.store, id, service, domain, version)
 	s.SetWork(workTime)
 	s.Watched(w.ledger.arrive)
+	s.DiesOf(func(a brstandin.Arrival) bool {
+		deadly := isDeadly(a.Call())
+		if deadly {
+			w.forget(s)
+			time.AfterFunc(downTime, func() { w.replace(s) })
+		}
+		return deadly
+	})
 	p := newProxy(w.t, "127.0.0.1:0", s.Address())
 	s.Through(p.address())
 	w.t.Cleanup(s.Close)
@@ -199,6 +208,18 @@
 	}
 }
 
+// forget takes note that a server has crashed.
+func (w *world) forget(s *brstandin.Server) {
+	w.dropServer(s)
+	w.calm.disturb(s.ID(), time.Now(), time.Now().Add(time.Hour))
+}
+
+// replace brings another server in place of one that has crashed.
+func (w *world) replace(s *brstandin.Server) {
+	s.Unregister()
+	w.addServer(s.Service(), s.Version(), s.Zone())
+}
+
 func (w *world) proxyOf(s *brstandin.Server) *proxy {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
