Take a server that broke off and is not registered any more for dead

Behind the soak's proxies a dead server still takes connections, so neither the look at it nor the next try told that it had died, and its entry vanished before it could start anew. Change: a server whose entry goes without having said that it leaves is taken for dead by what broke off there in the last 8 s.

--- a/internal/decide/brplace/death.go
+++ b/internal/decide/brplace/death.go
@@ -11,7 +11,8 @@
 
 const (
 	// breakMemory is how long after a request broke off its server's death is put
-	// down to it: the time in which a next try, or the server's new start, tells.
+	// down to it: the time in which a next try, the server's new start or the end of
+	// its registration tells.
 	breakMemory = 8 * time.Second
 	// maxBroken is how many requests that broke off are kept for a server; it
 	// bounds memory.
@@ -68,6 +69,16 @@
 
 func life(traits brfleet.Server) string { return fmt.Sprintf("%s/%d", traits.ID(), traits.Born()) }
 
+// buryGone takes servers that are not registered any more, and had not said that
+// they leave, for dead.
+func (p *Placer) buryGone(now time.Time, known map[string]*server) {
+	for id, one := range p.servers {
+		if _, registered := known[id]; !registered && !one.traits.Draining() {
+			p.died(now, one)
+		}
+	}
+}
+
 // died keeps the deaths that a server's end means until they are taken.
 func (p *Placer) died(now time.Time, one *server) {
 	if len(one.broken) == 0 || len(p.deaths) >= maxDeaths {
--- a/internal/decide/brplace/death_test.go
+++ b/internal/decide/brplace/death_test.go
@@ -77,3 +77,17 @@
 	p.Settle(start.Add(time.Minute), notSent("s-00"))
 	require.Empty(t, p.Deaths())
 }
+
+func TestServerThatIsNotRegisteredAnyMoreHasDied(t *testing.T) {
+	list := servers(3)
+	p := newPlacer("vm-1", "a", view(list, nil, nil))
+	p.Settle(start, broke("s-00"))
+	p.Update(start.Add(time.Second), view(list[1:], nil, nil))
+	require.Len(t, p.Deaths(), 1)
+
+	p.Settle(start.Add(time.Second), broke("s-01"))
+	leaving := []brfleet.Server{list[1].WithDraining(true), list[2]}
+	p.Update(start.Add(2*time.Second), view(leaving, nil, nil))
+	p.Update(start.Add(3*time.Second), view(list[2:], nil, nil))
+	require.Empty(t, p.Deaths(), "it had said that it leaves")
+}
--- a/internal/decide/brplace/placer.go
+++ b/internal/decide/brplace/placer.go
@@ -92,6 +92,7 @@
 			s.servers = nil
 		}
 	}
+	p.buryGone(now, known)
 	p.servers = known
 }
 
--- a/tests/soak/proxy_test.go
+++ b/tests/soak/proxy_test.go
@@ -43,6 +43,12 @@
 
 func (p *proxy) address() string { return p.listener.Addr().String() }
 
+// close ends all connections and takes no new ones, as the machine of a dead process does.
+func (p *proxy) close() {
+	_ = p.listener.Close()
+	p.reset()
+}
+
 func (p *proxy) set(l link) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
