--- a/internal/duty/brtimeline/record_bench_test.go
+++ b/internal/duty/brtimeline/record_bench_test.go
@@ -15,8 +15,6 @@
 	"bergamotroad.example/bergamotroad/internal/standin/brobserver"
 )
 
-type ignore struct{}
-
 // BenchmarkRecord measures the cost of events and the live heap that they hold.
 func BenchmarkRecord(b *testing.B) {
 	for _, events := range []int{1000, 4000, 8000} {
