--- a/internal/decide/brpoison/watch.go
+++ b/internal/decide/brpoison/watch.go
@@ -57,7 +57,7 @@
 	Suspected Finding = iota
 	// Condemned means that the request is refused from now on.
 	Condemned
-	// Acquitted means that the request has just run to its end elsewhere.
+	// Acquitted means that the request has run to its end lately.
 	Acquitted
 )
 
