--- a/internal/decide/brquota/ledger.go
+++ b/internal/decide/brquota/ledger.go
@@ -219,10 +219,15 @@
 		a.new = false
 		a.owed = math.Min(a.owed, a.afterStart())
 	}
-	ruling := Ruling{rate: a.rate, depth: a.depth, owed: a.owed, asked: l.standing.Demand(organisation.Name()), asOf: l.at}
-	room := a.room()
+	return l.rule(organisation, &a.bucket)
+}
+
+// rule lets a request through if a bucket has room for it.
+func (l *Ledger) rule(organisation brfleet.Organisation, b *bucket) Ruling {
+	ruling := Ruling{rate: b.rate, depth: b.depth, owed: b.owed, asked: l.standing.Demand(organisation.Name()), asOf: l.at}
+	room := b.room()
 	if room >= 1 {
-		a.owed++
+		b.owed++
 		ruling.admitted = true
 		return ruling
 	}
--- a/internal/decide/brquota/pool.go
+++ b/internal/decide/brquota/pool.go
@@ -69,9 +69,8 @@
 
 // Lend rules on a request at a VM of the region whose own bucket is empty.
 func (l *Ledger) Lend(now time.Time, organisation brfleet.Organisation) Ruling {
-	ruling := Ruling{wait: shortestWait, asked: l.standing.Demand(organisation.Name()), asOf: l.at}
 	if !l.pool.leads || l.deaf(now) {
-		return ruling
+		return Ruling{wait: shortestWait, asked: l.standing.Demand(organisation.Name()), asOf: l.at}
 	}
 	b, known := l.pool.buckets[organisation.Name()]
 	if !known {
@@ -84,15 +83,7 @@
 		// Another VM may have lent until just now.
 		b.owed = math.Floor(b.depth+b.offset) * (1 - l.inherited(organisation))
 	}
-	ruling.rate, ruling.depth, ruling.owed = b.rate, b.depth, b.owed
-	room := b.room()
-	if room >= 1 {
-		b.owed++
-		ruling.admitted = true
-		return ruling
-	}
-	ruling.wait = waitFor(ruling, organisation, room)
-	return ruling
+	return l.rule(organisation, b)
 }
 
 // inherited returns the part of a bucket that is full as a VM begins to lend.
