Sum up a region once, and the fleet only where the sum is used

Each sum made the region's anew for the fleet's, forgot old reports once for each region, and was thrown away on a VM that follows another. Entries of regions no longer repeat their key; brset and maps.DeleteFunc in place of own loops.

--- a/internal/decide/brcensus/book.go
+++ b/internal/decide/brcensus/book.go
@@ -14,8 +14,11 @@
 package brcensus
 
 import (
+	"maps"
+	"slices"
 	"time"
 
+	"bergamotroad.example/bergamotroad/internal/core/brset"
 	"bergamotroad.example/bergamotroad/internal/model/brstanding"
 )
 
@@ -36,13 +39,13 @@
 // Book holds the newest reports. It has one owner.
 type Book struct {
 	region  string
-	vms     map[string]entry
-	regions map[string]entry
+	vms     map[string]entry // by VM
+	regions map[string]entry // by region
 	left    map[string]time.Time // when VMs said that they stop
 }
 
 type entry struct {
-	region   string
+	region   string // of a VM
 	standing brstanding.Standing
 	at       time.Time
 }
@@ -61,24 +64,27 @@
 
 // Exchange takes the sum of another region.
 func (b *Book) Exchange(now time.Time, region string, standing brstanding.Standing) {
-	b.regions[region] = entry{region: region, standing: standing, at: now}
+	b.regions[region] = entry{standing: standing, at: now}
 	b.learnLeft(now, standing)
 }
 
 // Region returns the sum over the VMs of the own region that live.
 func (b *Book) Region(now time.Time) brstanding.Standing {
-	return b.reported(now, b.region).WithLeft(b.leavers(now))
+	forget(now, b.vms, reportLifetime)
+	return b.reported(b.region).WithLeft(b.leavers(now))
 }
 
-// Fleet returns the sum over all VMs that are known to live, each counted once. Of
-// another region that is what its VMs report here or what it told, whichever knows
-// of more VMs: while VMs look for one to follow, they report to several.
-func (b *Book) Fleet(now time.Time) brstanding.Standing {
-	forget(now, b.vms, reportLifetime)
+// Fleet returns the sum over all VMs that are known to live, each counted once.
+func (b *Book) Fleet(now time.Time) brstanding.Standing { return b.Total(now, b.Region(now)) }
+
+// Total adds the other regions to the sum of the own one as of now. Of another
+// region that is what its VMs report here or what it told, whichever knows of more
+// VMs: while VMs look for one to follow, they report to several.
+func (b *Book) Total(now time.Time, region brstanding.Standing) brstanding.Standing {
 	forget(now, b.regions, regionLifetime)
-	total := b.Region(now)
-	for region := range b.others() {
-		here, there := b.reported(now, region), b.regions[region].standing
+	total := region
+	for other := range b.others().All() {
+		here, there := b.reported(other), b.regions[other].standing
 		if len(there.Members()) > len(here.Members()) {
 			here = there
 		}
@@ -88,21 +94,17 @@
 }
 
 // others returns the other regions of which anything is known.
-func (b *Book) others() map[string]bool {
-	others := map[string]bool{}
-	for _, entries := range []map[string]entry{b.vms, b.regions} {
-		for _, e := range entries {
-			if e.region != b.region {
-				others[e.region] = true
-			}
-		}
+func (b *Book) others() brset.Set[string] {
+	others := brset.New(slices.Collect(maps.Keys(b.regions))...)
+	for _, e := range b.vms {
+		others.Add(e.region)
 	}
+	others.Remove(b.region)
 	return others
 }
 
 // reported returns the sum over the VMs of a region that report here.
-func (b *Book) reported(now time.Time, region string) brstanding.Standing {
-	forget(now, b.vms, reportLifetime)
+func (b *Book) reported(region string) brstanding.Standing {
 	total := brstanding.New(nil, nil, nil)
 	for _, e := range b.vms {
 		if e.region == region {
@@ -114,11 +116,7 @@
 
 // forget removes the entries that are too old.
 func forget(now time.Time, entries map[string]entry, lifetime time.Duration) {
-	for name, e := range entries {
-		if now.Sub(e.at) > lifetime {
-			delete(entries, name)
-		}
-	}
+	maps.DeleteFunc(entries, func(_ string, e entry) bool { return now.Sub(e.at) > lifetime })
 }
 
 // Adopt takes what the VM that this one follows says of those that stop, so that
--- a/internal/decide/brcensus/notices.go
+++ b/internal/decide/brcensus/notices.go
@@ -1,6 +1,7 @@
 package brcensus
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -36,15 +37,13 @@
 
 // Told returns what this VM tells now, in any order.
 func (n *Notices) Told(now time.Time) []brrequest.PoisonNotice {
-	list := []brrequest.PoisonNotice{}
-	for notice, at := range n.told {
-		if now.Sub(at) > n.lifetime {
-			delete(n.told, notice)
-			continue
-		}
-		list = append(list, notice)
-	}
-	return list
+	n.forget(now, n.told)
+	return slices.Collect(maps.Keys(n.told))
+}
+
+// forget removes the notices whose lifetime is over.
+func (n *Notices) forget(now time.Time, notices map[brrequest.PoisonNotice]time.Time) {
+	maps.DeleteFunc(notices, func(_ brrequest.PoisonNotice, at time.Time) bool { return now.Sub(at) > n.lifetime })
 }
 
 // News returns what of the fleet's notices this VM has neither told nor heard,
@@ -57,11 +56,7 @@
 		}
 		n.heard[notice] = now
 	}
-	for notice, at := range n.heard {
-		if now.Sub(at) > n.lifetime {
-			delete(n.heard, notice)
-		}
-	}
+	n.forget(now, n.heard)
 	slices.SortStableFunc(news, func(a, b brrequest.PoisonNotice) int { return rank(a) - rank(b) })
 	return news
 }
--- a/internal/duty/brcounting/counting.go
+++ b/internal/duty/brcounting/counting.go
@@ -238,10 +238,9 @@
 	}
 	own := brstanding.New(members, h.demands, h.agedTallies()).WithPoison(h.notices.Told(now)).WithLeft(h.left(now))
 	h.book.Report(now, h.self.Name(), h.self.Region(), own)
-	count := &Count{own: own, region: h.book.Region(now), leads: h.leads}
-	count.fleet, count.asOf = h.book.Fleet(now), now
-	if h.usesAdopted(now) {
-		count.fleet, count.asOf = h.adopted, h.adoptedAt
+	count := &Count{own: own, region: h.book.Region(now), leads: h.leads, fleet: h.adopted, asOf: h.adoptedAt}
+	if !h.usesAdopted(now) {
+		count.fleet, count.asOf = h.book.Total(now, count.region), now
 	}
 	h.count.Store(count)
 	h.hear(now, count.fleet)
