Weigh a service's load once for each choice; ask whether a request is refused in one way

brplace summed up all servers of a service twice for each request that finds one: for how many servers may get it, and for the line of the log. brpoison had the same test four times, and its duty asked by Begin, which may start a trial. brset and maps.DeleteFunc in place of own sets and loops. The simulated load of load_test.go ends with the same figures to the last request.

--- a/internal/decide/brcensus/book.go
+++ b/internal/decide/brcensus/book.go
@@ -39,8 +39,8 @@
 // Book holds the newest reports. It has one owner.
 type Book struct {
 	region  string
-	vms     map[string]entry // by VM
-	regions map[string]entry // by region
+	vms     map[string]entry     // by VM
+	regions map[string]entry     // by region
 	left    map[string]time.Time // when VMs said that they stop
 }
 
--- a/internal/decide/brplace/memory.go
+++ b/internal/decide/brplace/memory.go
@@ -1,6 +1,9 @@
 package brplace
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// memoryTime is how long a server is taken to know an object that it was sent:
@@ -34,11 +37,7 @@
 }
 
 func (m *memory) forget(now time.Time) {
-	for object, at := range m.sent {
-		if now.Sub(at) > memoryTime {
-			delete(m.sent, object)
-		}
-	}
+	maps.DeleteFunc(m.sent, func(_ string, at time.Time) bool { return now.Sub(at) > memoryTime })
 }
 
 // has reports whether an object was sent lately.
--- a/internal/decide/brplace/placer.go
+++ b/internal/decide/brplace/placer.go
@@ -22,6 +22,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"bergamotroad.example/bergamotroad/internal/core/brset"
 	"bergamotroad.example/bergamotroad/internal/model/brfleet"
 	"bergamotroad.example/bergamotroad/internal/model/brrequest"
 )
@@ -178,12 +179,13 @@
 		return Choice{}, false
 	}
 	order := rank(ask.affinity(), candidates, p.belongs(ask, candidates))
-	near := order[:min(s.spread(now), len(order))]
+	busy := s.busy(now)
+	near := order[:min(spread(busy), len(order))]
 	for _, o := range offers {
 		for i, r := range near {
 			if o.covers(now, ask, i, r.server) && p.free(now, s, r.server, o.queue) {
 				r.server.memory.add(now, ask.object)
-				return p.take(now, s, r.server, i, len(candidates)), true
+				return p.take(now, r.server, Choice{place: i, among: len(candidates), busy: busy}), true
 			}
 		}
 	}
@@ -195,22 +197,23 @@
 // to those of the other regions, and always the same ones.
 func (p *Placer) belongs(ask Ask, candidates []*server) func(*server) bool {
 	own, all := 0, 0
-	regions := map[string]struct{}{}
+	regions := brset.New[string]()
 	for _, one := range candidates {
 		all += one.traits.Slots()
-		regions[one.traits.Region()] = struct{}{}
+		regions.Add(one.traits.Region())
 		if one.traits.Region() == p.region {
 			own += one.traits.Slots()
 		}
 	}
-	share := homeShare * float64(own*len(regions)) / float64(max(all, 1))
+	share := homeShare * float64(own*regions.Len()) / float64(max(all, 1))
 	stays := fraction("home", ask.affinity()) < share
 	return func(one *server) bool { return (one.traits.Region() == p.region) == stays }
 }
 
-// spread returns how many servers may get an object now.
-func (s *service) spread(now time.Time) int {
-	if s.busy(now) > busyLoad {
+// spread returns how many servers of a service may get an object at a load of the
+// service.
+func spread(busy float64) int {
+	if busy > busyLoad {
 		return knownServers
 	}
 	return calmServers
@@ -255,12 +258,13 @@
 	return ahead < coldOwners
 }
 
-func (p *Placer) take(now time.Time, s *service, one *server, place, among int) Choice {
+// take counts a request as running at a server, and completes the choice of it.
+func (p *Placer) take(now time.Time, one *server, choice Choice) Choice {
 	if one.cold(now) {
 		rate := p.view.Policy().Service(one.traits.Service()).ColdRate()
 		one.pace.take(now, max(rate, 1)*coldShare/coldOwners)
 	}
-	choice := Choice{server: one.traits, place: place, among: among, load: one.load(now), busy: s.busy(now)}
+	choice.server, choice.load = one.traits, one.load(now)
 	one.mine++
 	return choice
 }
--- a/internal/decide/brpoison/watch.go
+++ b/internal/decide/brpoison/watch.go
@@ -14,6 +14,7 @@
 package brpoison
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -95,14 +96,11 @@
 
 // Begin returns whether a request may run now.
 func (w *Watch[P]) Begin(now time.Time, fingerprint brrequest.Fingerprint) Verdict {
-	if w.refused[fingerprint].After(now) {
+	if w.Refuses(now, fingerprint) {
 		return Refused
 	}
 	s, ok := w.suspects[fingerprint]
-	if !ok || !s.until.After(now) {
-		return Runs
-	}
-	if !w.policy.Serial() {
+	if !w.policy.Serial() || !ok || !s.until.After(now) {
 		return Runs
 	}
 	if w.trialEnd.After(now) {
@@ -148,7 +146,7 @@
 	}
 	_, acquitted := w.acquitted[death{fingerprint: fingerprint, server: server}]
 	s, ok := w.suspects[fingerprint]
-	if acquitted || w.refused[fingerprint].After(now) || !ok && len(w.suspects) >= maxSuspects {
+	if acquitted || w.Refuses(now, fingerprint) || !ok && len(w.suspects) >= maxSuspects {
 		return Suspected
 	}
 	if !ok || !s.until.After(now) {
@@ -171,12 +169,17 @@
 // Suspects reports whether deaths of servers are put down to a request.
 func (w *Watch[P]) Suspects(now time.Time, fingerprint brrequest.Fingerprint) bool {
 	_, suspected := w.suspects[fingerprint]
-	return suspected || w.refused[fingerprint].After(now)
+	return suspected || w.Refuses(now, fingerprint)
+}
+
+// Refuses reports whether a request is refused now.
+func (w *Watch[P]) Refuses(now time.Time, fingerprint brrequest.Fingerprint) bool {
+	return w.refused[fingerprint].After(now)
 }
 
 // Lift ends the refusal of a request and reports whether there was one.
 func (w *Watch[P]) Lift(now time.Time, fingerprint brrequest.Fingerprint) bool {
-	was := w.refused[fingerprint].After(now)
+	was := w.Refuses(now, fingerprint)
 	delete(w.refused, fingerprint)
 	delete(w.suspects, fingerprint)
 	return was
@@ -189,11 +192,7 @@
 			delete(w.refused, fingerprint)
 		}
 	}
-	for d, at := range w.acquitted {
-		if now.Sub(at) > acquittalTime {
-			delete(w.acquitted, d)
-		}
-	}
+	maps.DeleteFunc(w.acquitted, func(_ death, at time.Time) bool { return now.Sub(at) > acquittalTime })
 	for fingerprint, s := range w.suspects {
 		if !s.until.After(now) {
 			delete(w.suspects, fingerprint)
--- a/internal/duty/brpoisoning/duty.go
+++ b/internal/duty/brpoisoning/duty.go
@@ -195,7 +195,7 @@
 	}
 	h.seen = slices.DeleteFunc(h.seen, func(n brrequest.PoisonNotice) bool { return !h.watch.Suspects(now, n.Fingerprint()) })
 	for _, notice := range h.seen {
-		if h.watch.Begin(now, notice.Fingerprint()) == brpoison.Refused {
+		if h.watch.Refuses(now, notice.Fingerprint()) {
 			h.teller.Tell(notice)
 		}
 	}
