Play simulated events in one way

brplace, brpoison, brquota and brbalance each had their own queue of what happens later, two as a heap and two as a list: brschedule. No check or bound changes.

--- a/internal/decide/brbalance/experiment_test.go
+++ b/internal/decide/brbalance/experiment_test.go
@@ -1,7 +1,6 @@
 package brbalance_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -15,6 +14,7 @@
 	"bergamotroad.example/bergamotroad/internal/decide/brretry"
 	"bergamotroad.example/bergamotroad/internal/model/brconfig"
 	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+	"bergamotroad.example/bergamotroad/internal/standin/brschedule"
 )
 
 // The experiment: three VMs send to twelve servers of three slots each, of
@@ -68,7 +68,7 @@
 type experiment struct {
 	random   *rand.Rand
 	now      time.Time
-	queue    steps
+	schedule brschedule.Schedule
 	choosers []chooser
 	budgets  []*brretry.Budget
 	waiting  [][]waiter
@@ -91,23 +91,6 @@
 	placement brrequest.Placement
 }
 
-type step struct {
-	at  time.Time
-	run func()
-}
-
-type steps []step
-
-func (s steps) Len() int           { return len(s) }
-func (s steps) Less(i, j int) bool { return s[i].at.Before(s[j].at) }
-func (s steps) Swap(i, j int)      { s[i], s[j] = s[j], s[i] }
-func (s *steps) Push(x any)        { *s = append(*s, x.(step)) }
-func (s *steps) Pop() any {
-	last := (*s)[len(*s)-1]
-	*s = (*s)[:len(*s)-1]
-	return last
-}
-
 func serversOf(t testing.TB, count int) (*brconfig.Snapshot, []brconfig.Server) {
 	t.Helper()
 	servers := []brconfig.Server{}
@@ -159,14 +142,13 @@
 		e.arrive()
 		next := e.now.Add(time.Duration(e.random.ExpFloat64() / perSecond * float64(time.Second)))
 		if next.Before(end) {
-			heap.Push(&e.queue, step{at: next, run: arrive})
+			e.schedule.Add(next, arrive)
 		}
 	}
-	heap.Push(&e.queue, step{at: e.now, run: arrive})
-	for e.queue.Len() > 0 {
-		next := heap.Pop(&e.queue).(step)
-		e.now = next.at
-		next.run()
+	e.schedule.Add(e.now, arrive)
+	for at, ok := e.schedule.Next(); ok; at, ok = e.schedule.Next() {
+		e.now = at
+		e.schedule.Run()
 	}
 }
 
@@ -218,14 +200,14 @@
 	}
 	b := e.backends[server.Name()]
 	took, kind := e.outcome(b)
-	heap.Push(&e.queue, step{at: e.now.Add(took), run: func() {
+	e.schedule.Add(e.now.Add(took), func() {
 		if kind == brrequest.OutcomeAnswered {
 			b.running--
 		}
 		e.choosers[vm].Release(e.now, brrequest.NewOutcome(server.Name(), kind, took))
 		e.end(vm, arrived, attempt, placement.Avoiding(server.Name()), kind)
 		e.wake(vm)
-	}})
+	})
 }
 
 func (e *experiment) outcome(b *backend) (time.Duration, brrequest.OutcomeKind) {
--- a/internal/decide/brplace/load_test.go
+++ b/internal/decide/brplace/load_test.go
@@ -1,7 +1,6 @@
 package brplace_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -14,6 +13,7 @@
 	"bergamotroad.example/bergamotroad/internal/decide/brplace"
 	"bergamotroad.example/bergamotroad/internal/model/brfleet"
 	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+	"bergamotroad.example/bergamotroad/internal/standin/brschedule"
 )
 
 // The simulated servers, after the users' description: they have some slots and
@@ -32,16 +32,16 @@
 
 // loadFleet is some VMs over servers that remember objects, in virtual time.
 type loadFleet struct {
-	now     time.Time
-	random  *rand.Rand
-	vms     []*brplace.Placer
-	servers map[string]*loadServer
-	queue   events
-	inTime  int
-	late    int
-	back    int // served after they came back from a refusal, late in any case
-	refused int
-	strange int
+	now      time.Time
+	random   *rand.Rand
+	vms      []*brplace.Placer
+	servers  map[string]*loadServer
+	schedule brschedule.Schedule
+	inTime   int
+	late     int
+	back     int // served after they came back from a refusal, late in any case
+	refused  int
+	strange  int
 }
 
 type loadServer struct {
@@ -50,29 +50,6 @@
 	known   map[string]time.Time
 }
 
-type loadEvent struct {
-	at  time.Time
-	run func()
-}
-
-// events is a heap of what comes next.
-type events []loadEvent
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-
-// Push implements heap.Interface.
-func (e *events) Push(x any) { *e = append(*e, x.(loadEvent)) }
-
-// Pop implements heap.Interface.
-func (e *events) Pop() any {
-	old := *e
-	last := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return last
-}
-
 func newLoadFleet(seed uint64, vms int, list []brfleet.Server) *loadFleet {
 	f := &loadFleet{now: start, random: rand.New(rand.NewPCG(seed, 9)), servers: map[string]*loadServer{}}
 	for i, s := range list {
@@ -87,7 +64,7 @@
 }
 
 func (f *loadFleet) after(length time.Duration, run func()) {
-	heap.Push(&f.queue, loadEvent{at: f.now.Add(length), run: run})
+	f.schedule.Add(f.now.Add(length), run)
 }
 
 // play sends requests at a rate, whose objects object draws, for a time.
@@ -102,10 +79,9 @@
 		f.after(time.Duration(f.random.ExpFloat64()/rate*float64(time.Second)), next)
 	}
 	f.after(0, next)
-	for len(f.queue) > 0 && f.queue[0].at.Before(end) {
-		e := heap.Pop(&f.queue).(loadEvent)
-		f.now = e.at
-		e.run()
+	for at, ok := f.schedule.Next(); ok && at.Before(end); at, ok = f.schedule.Next() {
+		f.now = at
+		f.schedule.Run()
 	}
 }
 
--- a/internal/decide/brpoison/fleet_test.go
+++ b/internal/decide/brpoison/fleet_test.go
@@ -14,6 +14,7 @@
 	"bergamotroad.example/bergamotroad/internal/decide/brpoison"
 	"bergamotroad.example/bergamotroad/internal/model/brfleet"
 	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+	"bergamotroad.example/bergamotroad/internal/standin/brschedule"
 )
 
 const (
@@ -33,19 +34,14 @@
 
 // fleet is a simulated fleet of VMs and backend servers, in virtual time.
 type fleet struct {
-	now     time.Time
-	random  *rand.Rand
-	vms     []*simulatedVM
-	servers []*simulatedServer
-	later   []event
-	killed  []time.Time // servers, by the poison request
-	served  int
-	refused int // innocent requests
-}
-
-type event struct {
-	at  time.Time
-	run func()
+	now      time.Time
+	random   *rand.Rand
+	vms      []*simulatedVM
+	servers  []*simulatedServer
+	schedule brschedule.Schedule
+	killed   []time.Time // servers, by the poison request
+	served   int
+	refused  int // innocent requests
 }
 
 type simulatedVM struct {
@@ -100,21 +96,13 @@
 }
 
 func (f *fleet) after(length time.Duration, run func()) {
-	f.later = append(f.later, event{at: f.now.Add(length), run: run})
+	f.schedule.Add(f.now.Add(length), run)
 }
 
 // play runs the fleet for a time; each calls is made at each step.
 func (f *fleet) play(length time.Duration, each func()) {
 	for end := f.now.Add(length); f.now.Before(end); f.now = f.now.Add(step) {
-		due := f.later
-		f.later = nil
-		for _, e := range due {
-			if e.at.After(f.now) {
-				f.later = append(f.later, e)
-				continue
-			}
-			e.run()
-		}
+		f.schedule.RunUntil(f.now)
 		if f.now.Sub(start)%(250*time.Millisecond) == 0 {
 			f.tell()
 		}
--- a/internal/decide/brquota/fleet_test.go
+++ b/internal/decide/brquota/fleet_test.go
@@ -12,6 +12,7 @@
 	"bergamotroad.example/bergamotroad/internal/decide/brquota"
 	"bergamotroad.example/bergamotroad/internal/model/brfleet"
 	"bergamotroad.example/bergamotroad/internal/model/brstanding"
+	"bergamotroad.example/bergamotroad/internal/standin/brschedule"
 )
 
 // The contract that the fleet is held to.
@@ -32,12 +33,6 @@
 // regions is the number of regions; each sums up its own VMs, and tells the others.
 const regions = 3
 
-// told is something told that arrives later.
-type told struct {
-	at     time.Time
-	arrive func()
-}
-
 // fleet is a number of VMs that report to one of their region and are told the sum.
 type fleet struct {
 	random  *rand.Rand
@@ -46,7 +41,7 @@
 	ledgers []*brquota.Ledger
 	reports map[int]map[string]float64
 	others  [regions]map[int]brstanding.Standing
-	onTheir []told
+	onTheir brschedule.Schedule // what is told and has not arrived
 	nextAt  []time.Time
 	sumAt   time.Time
 	meetAt  time.Time
@@ -79,8 +74,7 @@
 
 // tell lets something arrive after some time.
 func (f *fleet) tell(arrive func()) {
-	at := f.now.Add(time.Duration(f.random.Int64N(int64(travel))))
-	f.onTheir = append(f.onTheir, told{at: at, arrive: arrive})
+	f.onTheir.Add(f.now.Add(time.Duration(f.random.Int64N(int64(travel)))), arrive)
 }
 
 // advance lets one step pass.
@@ -98,15 +92,7 @@
 	}
 	f.sumUp()
 	f.meet()
-	left := []told{}
-	for _, t := range f.onTheir {
-		if f.now.Before(t.at) {
-			left = append(left, t)
-			continue
-		}
-		t.arrive()
-	}
-	f.onTheir = left
+	f.onTheir.RunUntil(f.now)
 }
 
 // sumUp tells each VM the sum as its region knows it.
