--- a/tests/soak/fault_test.go
+++ b/tests/soak/fault_test.go
@@ -87,14 +87,14 @@
 	{name: "store is slow", begin: slowStore, wide: true},
 	{name: "store forgets its history", begin: forgetHistory, wide: true},
 	{name: "servers lapse in an outage", begin: lapse, wide: true},
-	{name: "server crashes and comes back", begin: crashServer},
-	{name: "server's address goes to another service", begin: reuseAddress},
+	{name: "server crashes and comes back", begin: atServer(crashServer)},
+	{name: "server's address goes to another service", begin: atServer(reuseAddress)},
 	{name: "callers repeat a request that kills servers", begin: repeatDeadly},
-	{name: "server drains", begin: drainServer},
-	{name: "server ends without a word", begin: unregisterServer},
+	{name: "server drains", begin: atServer(drainServer)},
+	{name: "server ends without a word", begin: atServer(unregisterServer)},
 	{name: "server falls silent", begin: harmServer(link{silentTo: true, silentOf: true})},
 	{name: "server loses answers", begin: harmServer(link{silentOf: true})},
-	{name: "server is slow", begin: slowServer},
+	{name: "server is slow", begin: atServer(slowServer)},
 	{name: "server breaks connections", begin: spoil(brstandin.FaultBreak)},
 	{name: "server gives answers of others", begin: spoil(brstandin.FaultLie)},
 	{name: "server fails", begin: spoil(brstandin.FaultGrey)},
@@ -249,11 +249,19 @@
 	}
 }
 
-func crashServer(w *world, pick int, _ time.Time) func() {
-	s := w.someServer(pick)
-	if s == nil {
-		return nil
+// atServer brings a fault about at one of the servers, unless its service would be
+// left without.
+func atServer(begin func(w *world, s *brstandin.Server, pick int, until time.Time) func()) func(*world, int, time.Time) func() {
+	return func(w *world, pick int, until time.Time) func() {
+		s := w.someServer(pick)
+		if s == nil {
+			return nil
+		}
+		return begin(w, s, pick, until)
 	}
+}
+
+func crashServer(w *world, s *brstandin.Server, _ int, _ time.Time) func() {
 	w.crash(s)
 	return func() { w.replace(s) }
 }
@@ -278,11 +286,7 @@
 }
 
 // reuseAddress gives the address of a server that crashed to one of another service.
-func reuseAddress(w *world, pick int, _ time.Time) func() {
-	s := w.someServer(pick)
-	if s == nil {
-		return nil
-	}
+func reuseAddress(w *world, s *brstandin.Server, pick int, _ time.Time) func() {
 	w.forget(s)
 	s.Close()
 	return func() {
@@ -295,11 +299,7 @@
 	}
 }
 
-func drainServer(w *world, pick int, _ time.Time) func() {
-	s := w.someServer(pick)
-	if s == nil {
-		return nil
-	}
+func drainServer(w *world, s *brstandin.Server, _ int, _ time.Time) func() {
 	w.dropServer(s)
 	s.Report("draining")
 	w.addServer(s.Service(), s.Version(), s.Zone())
@@ -311,11 +311,7 @@
 	return nil
 }
 
-func unregisterServer(w *world, pick int, _ time.Time) func() {
-	s := w.someServer(pick)
-	if s == nil {
-		return nil
-	}
+func unregisterServer(w *world, s *brstandin.Server, _ int, _ time.Time) func() {
 	w.dropServer(s)
 	s.Unregister()
 	w.addServer(s.Service(), s.Version(), s.Zone())
@@ -323,38 +319,26 @@
 }
 
 func harmServer(l link) func(*world, int, time.Time) func() {
-	return func(w *world, pick int, until time.Time) func() {
-		s := w.someServer(pick)
-		if s == nil {
-			return nil
-		}
+	return atServer(func(w *world, s *brstandin.Server, _ int, until time.Time) func() {
 		w.calm.disturb(s.ID(), time.Now(), until)
 		p := w.proxyOf(s)
 		p.set(l)
 		return func() { p.set(link{}) }
-	}
+	})
 }
 
-func slowServer(w *world, pick int, until time.Time) func() {
-	s := w.someServer(pick)
-	if s == nil {
-		return nil
-	}
+func slowServer(w *world, s *brstandin.Server, _ int, until time.Time) func() {
 	w.calm.disturb(s.ID(), time.Now(), until)
 	s.SetWork(20 * workTime)
 	return func() { s.SetWork(workTime) }
 }
 
 func spoil(kind brstandin.Fault) func(*world, int, time.Time) func() {
-	return func(w *world, pick int, until time.Time) func() {
-		s := w.someServer(pick)
-		if s == nil {
-			return nil
-		}
+	return atServer(func(w *world, s *brstandin.Server, _ int, until time.Time) func() {
 		w.calm.disturb(s.ID(), time.Now(), until.Add(time.Second))
 		s.SetFault(kind)
 		return func() { s.SetFault(brstandin.FaultNone) }
-	}
+	})
 }
 
 func addServer(w *world, pick int, _ time.Time) func() {
