--- a/internal/service/brentryvm/vm.go
+++ b/internal/service/brentryvm/vm.go
@@ -10,15 +10,18 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 
 	"github.com/go-faster/errors"
 
 	"bergamotroad.example/bergamotroad/internal/core/brclock"
 	"bergamotroad.example/bergamotroad/internal/core/brduty"
+	"bergamotroad.example/bergamotroad/internal/core/brset"
 	"bergamotroad.example/bergamotroad/internal/decide/brpoison"
 	"bergamotroad.example/bergamotroad/internal/duty/brcounting"
 	"bergamotroad.example/bergamotroad/internal/duty/brexchanging"
@@ -118,15 +121,9 @@
 }
 
 func otherRegions(site Site) []string {
-	regions := []string{}
-	seen := map[string]bool{site.self.Region(): true}
-	for _, region := range site.regions {
-		if !seen[region] {
-			seen[region] = true
-			regions = append(regions, region)
-		}
-	}
-	return regions
+	regions := brset.New(slices.Collect(maps.Values(site.regions))...)
+	regions.Remove(site.self.Region())
+	return brset.Sorted(regions)
 }
 
 // Run serves until the context ends or a duty panics, then finishes what runs.
