Heed servers that shut down or want no requests, and read late refusals as nobody's

Cause: the adapter threw away a server's Retry-After (NewErrShed(0)) and read no Server-Leaving, so that a VM kept sending to both. Found on the way: a late second copy of a refusal, on a connection in use again, was taken for the refusal of the next request ("not run" while it may run: X-Not-Executed and 421 were read before the request's id was compared), and its connection was used again.

Idle connections to a server that leaves are closed (brbackend.Transport knows them by address). If all servers that may run a request want quiet, it is rejected at once with the time of the first that wants requests again, also out of the queue. A response of another request ends its connection. Log lines, a metric, explain, soak faults and their checks.

--- a/internal/decide/brplacement/crash_test.go
+++ b/internal/decide/brplacement/crash_test.go
@@ -14,11 +14,11 @@
 var crashingRequest = brrequest.NewFingerprint("entries", "POST", "/poison", nil, 0)
 
 func brokenOutcome(server string) brplacement.Outcome {
-	return brplacement.NewOutcome(server, brrequest.OutcomeBroken, 0).WithRequest(crashingRequest)
+	return brplacement.NewOutcome(brfleet.NewServer(server, "lookup", ""), brrequest.OutcomeBroken, 0).WithRequest(crashingRequest)
 }
 
 func notSent(server string) brplacement.Outcome {
-	return brplacement.NewOutcome(server, brrequest.OutcomeNotSent, 0)
+	return brplacement.NewOutcome(brfleet.NewServer(server, "lookup", ""), brrequest.OutcomeNotSent, 0)
 }
 
 func TestBrokenRequestThenUnreachableServerIsCrash(t *testing.T) {
--- a/internal/decide/brplacement/load_test.go
+++ b/internal/decide/brplacement/load_test.go
@@ -176,7 +176,7 @@
 func (f *loadFleet) recordOutcome(vm *brplacement.Placer, id string, kind brrequest.OutcomeKind, latency time.Duration) {
 	s := f.servers[id]
 	load := broption.Some(brfleet.NewLoad(s.running, len(s.waiting)))
-	vm.RecordOutcome(f.now, brplacement.NewOutcome(id, kind, latency).WithLoad(load))
+	vm.RecordOutcome(f.now, brplacement.NewOutcome(brfleet.NewServer(id, "lookup", ""), kind, latency).WithReport(brfleet.ServerReport{}.WithLoad(load)))
 }
 
 // popular returns one of count objects at random, with a skewed distribution in
--- a/internal/decide/brplacement/outcome.go
+++ b/internal/decide/brplacement/outcome.go
@@ -10,23 +10,23 @@
 
 // Outcome describes how a request to a server ended. It is immutable.
 type Outcome struct {
-	server     string
+	server     brfleet.Server
 	kind       brrequest.OutcomeKind
 	latency    time.Duration
-	load       broption.Option[brfleet.Load]
+	report     brfleet.ServerReport
 	request    broption.Option[brrequest.Fingerprint]
 	serverDown bool
 }
 
 // NewOutcome returns the outcome of a request to a server, with the time that the
 // server took for it.
-func NewOutcome(server string, kind brrequest.OutcomeKind, latency time.Duration) Outcome {
+func NewOutcome(server brfleet.Server, kind brrequest.OutcomeKind, latency time.Duration) Outcome {
 	return Outcome{server: server, kind: kind, latency: latency}
 }
 
-// WithLoad returns the outcome with the load that the server reported.
-func (o Outcome) WithLoad(load broption.Option[brfleet.Load]) Outcome {
-	o.load = load
+// WithReport returns the outcome with what the server said about itself.
+func (o Outcome) WithReport(report brfleet.ServerReport) Outcome {
+	o.report = report
 	return o
 }
 
@@ -43,8 +43,11 @@
 	return o
 }
 
-// Server returns the server's identifier.
-func (o Outcome) Server() string { return o.server }
+// Server returns the server to which the request was sent.
+func (o Outcome) Server() brfleet.Server { return o.server }
+
+// Report returns what the server said about itself.
+func (o Outcome) Report() brfleet.ServerReport { return o.report }
 
 // Kind returns how the request ended.
 func (o Outcome) Kind() brrequest.OutcomeKind { return o.kind }
--- a/internal/decide/brplacement/placer.go
+++ b/internal/decide/brplacement/placer.go
@@ -19,7 +19,7 @@
 //	placer := brplacement.New("vm-1", "este")
 //	placer.Update(now, view)
 //	choice, ok := placer.Pick(now, brplacement.NewQuery(requestID, "lookup").WithObject("cylinder-7"))
-//	placer.RecordOutcome(now, brplacement.NewOutcome(choice.Server().ID(), brrequest.OutcomeAnswered, latency))
+//	placer.RecordOutcome(now, brplacement.NewOutcome(choice.Server(), brrequest.OutcomeAnswered, latency))
 package brplacement
 
 import (
@@ -29,6 +29,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bergamotroad.example/bergamotroad/internal/core/brset"
+	"bergamotroad.example/bergamotroad/internal/decide/brbackoff"
 	"bergamotroad.example/bergamotroad/internal/model/brfleet"
 	"bergamotroad.example/bergamotroad/internal/model/brrequest"
 )
@@ -60,6 +61,7 @@
 	services  map[string]*service
 	exposures map[string]Exposure
 	crashes   []Crash
+	backoff   *brbackoff.Tracker
 }
 
 // service holds the servers of one service.
@@ -79,6 +81,7 @@
 		servers:   map[string]*server{},
 		services:  map[string]*service{},
 		exposures: map[string]Exposure{},
+		backoff:   brbackoff.New(vm),
 	}
 }
 
@@ -146,7 +149,7 @@
 	}
 	rollout, hasRollout := p.view.Rollout(query.service)
 	for _, allowed := range s.versions.choose(query.request, rollout, hasRollout, p.exposures[query.service]) {
-		candidates := s.candidates(now, p.view, query, allowed)
+		candidates := p.candidates(now, s, query, allowed)
 		if choice, ok := p.pickFrom(now, s, query, candidates); ok {
 			return choice, true
 		}
@@ -154,44 +157,62 @@
 	return Choice{}, false
 }
 
-// HasCandidates reports whether any server may run the request, regardless of load.
-func (p *Placer) HasCandidates(now time.Time, query Query) bool {
+// Availability tells whether any server may run a request, regardless of load.
+func (p *Placer) Availability(now time.Time, query Query) Availability {
 	s, ok := p.services[query.service]
 	if !ok {
-		return false
+		return Availability{}
 	}
+	availability := Availability{}
 	rollout, hasRollout := p.view.Rollout(query.service)
 	for _, allowed := range s.versions.choose(query.request, rollout, hasRollout, p.exposures[query.service]) {
-		if len(s.candidates(now, p.view, query, allowed)) > 0 {
-			return true
+		for _, srv := range s.servers {
+			if p.eligible(now, srv, query, allowed) {
+				until, isQuiet := p.backoff.QuietUntil(now, srv.registration)
+				availability = availability.with(until, isQuiet)
+			}
 		}
 	}
-	return false
+	return availability
 }
 
-// candidates returns the servers that may run a request, regardless of load.
-func (s *service) candidates(now time.Time, view *brfleet.View, query Query, allowed func(string) bool) []*server {
+// candidates returns the servers that may run a request now, regardless of load.
+func (p *Placer) candidates(now time.Time, s *service, query Query, allowed func(string) bool) []*server {
 	list := make([]*server, 0, len(s.servers))
 	for _, srv := range s.servers {
-		registration := srv.registration
-		if registration.Draining() || view.Evacuated(registration.Domain()) || !allowed(registration.Version()) || !query.allowsRegion(registration.Region()) {
+		if !p.eligible(now, srv, query, allowed) {
 			continue
 		}
-		if slices.Contains(query.excluded, registration.ID()) || (srv.paused(now) && srv.failures > 0) {
-			continue
+		if _, isQuiet := p.backoff.QuietUntil(now, srv.registration); !isQuiet {
+			list = append(list, srv)
 		}
-		list = append(list, srv)
 	}
 	return list
 }
 
+// eligible reports whether a server may run a request, now or once it wants requests
+// again.
+func (p *Placer) eligible(now time.Time, srv *server, query Query, allowed func(string) bool) bool {
+	registration := srv.registration
+	switch {
+	case registration.Draining() || p.backoff.IsLeaving(registration):
+		return false
+	case p.view.Evacuated(registration.Domain()) || !query.allowsRegion(registration.Region()):
+		return false
+	case slices.Contains(query.excluded, registration.ID()) || !allowed(registration.Version()):
+		return false
+	default:
+		return !srv.paused(now) || srv.failures == 0
+	}
+}
+
 // pickFrom picks one of the candidates by the placement rules.
 func (p *Placer) pickFrom(now time.Time, s *service, query Query, candidates []*server) (Choice, bool) {
 	if len(candidates) == 0 {
 		return Choice{}, false
 	}
 	order := rank(query.affinity(), candidates, p.preference(query, candidates))
-	utilisation := s.utilisation(now)
+	utilisation := p.utilisation(now, s)
 	near := order[:min(spread(utilisation), len(order))]
 	for _, rule := range placementRules {
 		for i, r := range near {
@@ -232,10 +253,14 @@
 	return normalSpread
 }
 
-// utilisation returns the load of the service as a fraction of its slots.
-func (s *service) utilisation(now time.Time) float64 {
+// utilisation returns the load of a service as a fraction of the slots of the servers that
+// want requests.
+func (p *Placer) utilisation(now time.Time, s *service) float64 {
 	load, slots := 0.0, 0
 	for _, srv := range s.servers {
+		if _, isQuiet := p.backoff.QuietUntil(now, srv.registration); isQuiet || p.backoff.IsLeaving(srv.registration) {
+			continue
+		}
 		load += srv.load(now)
 		slots += srv.registration.Slots()
 	}
@@ -253,6 +278,9 @@
 	if srv.cold(now) {
 		return srv.load(now) < slots && p.sendsToCold(srv) && srv.pacer.ready(now)
 	}
+	if window, limited := p.backoff.Window(srv.registration); limited && srv.running >= window {
+		return false
+	}
 	if srv.unreachable || srv.slow(s.latency) {
 		return srv.running == 0 && srv.load(now) < slots
 	}
@@ -284,12 +312,21 @@
 	return choice
 }
 
-// RecordOutcome records how a request to a server ended.
-func (p *Placer) RecordOutcome(now time.Time, outcome Outcome) {
-	srv, ok := p.servers[outcome.server]
-	if !ok {
-		return
+// RecordOutcome records how a request to a server ended, and returns whether the server
+// said for the first time that it wants no requests.
+func (p *Placer) RecordOutcome(now time.Time, outcome Outcome) brbackoff.Change {
+	change := p.backoff.Record(now, outcome.server, outcome.report)
+	if outcome.kind == brrequest.OutcomeAnswered {
+		p.backoff.RecordAnswer(now, outcome.server)
+	}
+	if srv, ok := p.servers[outcome.server.ID()]; ok {
+		p.recordAtServer(now, srv, outcome)
 	}
+	return change
+}
+
+// recordAtServer records an outcome in the state of the server and of its service.
+func (p *Placer) recordAtServer(now time.Time, srv *server, outcome Outcome) {
 	srv.recordOutcome(now, outcome)
 	if outcome.serverDown || outcome.kind == brrequest.OutcomeNotSent {
 		p.recordCrashes(now, srv)
--- a/internal/decide/brplacement/placer_test.go
+++ b/internal/decide/brplacement/placer_test.go
@@ -58,7 +58,7 @@
 }
 
 func answered(server string) brplacement.Outcome {
-	return brplacement.NewOutcome(server, brrequest.OutcomeAnswered, 200*time.Millisecond)
+	return brplacement.NewOutcome(brfleet.NewServer(server, "lookup", ""), brrequest.OutcomeAnswered, 200*time.Millisecond)
 }
 
 // Many callers request the same objects through all VMs of a region. All VMs
@@ -250,7 +250,7 @@
 	refused := 0
 	// Requests of other VMs make the service busy.
 	for _, s := range servers(12) {
-		p.RecordOutcome(start, answered(s.ID()).WithLoad(broption.Some(brfleet.NewLoad(2, 0))))
+		p.RecordOutcome(start, answered(s.ID()).WithReport(brfleet.ServerReport{}.WithLoad(broption.Some(brfleet.NewLoad(2, 0)))))
 	}
 	for i := range 40 {
 		choice, ok := p.Pick(start, newQuery(fmt.Sprint(i), "cylinder-7"))
@@ -271,7 +271,7 @@
 	first, ok := p.Pick(start, newQuery("r", "o"))
 	require.True(t, ok)
 	id := first.Server().ID()
-	p.RecordOutcome(start, brplacement.NewOutcome(id, brrequest.OutcomeNotSent, 0))
+	p.RecordOutcome(start, brplacement.NewOutcome(brfleet.NewServer(id, "lookup", ""), brrequest.OutcomeNotSent, 0))
 	for i := range 20 {
 		choice, ok := p.Pick(start.Add(100*time.Millisecond), newQuery(fmt.Sprint(i), "o"))
 		if ok {
--- a/internal/decide/brplacement/query.go
+++ b/internal/decide/brplacement/query.go
@@ -59,6 +59,13 @@
 	return q
 }
 
+// WithoutExclusions returns the query as for the caller's next attempt, which may use all
+// servers again.
+func (q Query) WithoutExclusions() Query {
+	q.excluded = nil
+	return q
+}
+
 // Request returns the identifier of the request.
 func (q Query) Request() string { return q.request }
 
--- a/internal/decide/brplacement/server.go
+++ b/internal/decide/brplacement/server.go
@@ -84,7 +84,7 @@
 // recordOutcome records how a request of this VM ended.
 func (s *server) recordOutcome(now time.Time, o Outcome) {
 	s.running = max(s.running-1, 0)
-	if load, ok := o.load.Get(); ok {
+	if load, ok := o.report.Load().Get(); ok {
 		s.peerLoad.observe(now, math.Max(float64(load.Running()+load.Waiting()-s.running), 0))
 	}
 	switch o.kind {
@@ -129,9 +129,13 @@
 }
 
 // recordShed handles a refusal by the server. A server that sheds although it reports
-// free slots counts as faulty; a full one is paused for a short time.
+// free slots counts as faulty; a full one is paused for a short time, unless it says how
+// long it wants no requests.
 func (s *server) recordShed(now time.Time, o Outcome) {
-	load, reported := o.load.Get()
+	load, reported := o.report.Load().Get()
+	if o.report.RetryAfter() > 0 {
+		return // the server says itself when it wants requests again
+	}
 	if reported && load.Running() < s.registration.Slots() {
 		s.recordFault(now)
 		return
--- a/internal/decide/brpoison/fleet_test.go
+++ b/internal/decide/brpoison/fleet_test.go
@@ -157,7 +157,7 @@
 	}
 	s := f.server(choice.Server().ID())
 	recordOutcome := func(kind brrequest.OutcomeKind) {
-		vm.placer.RecordOutcome(f.now, brplacement.NewOutcome(s.id, kind, serviceTime).WithRequest(fingerprint))
+		vm.placer.RecordOutcome(f.now, brplacement.NewOutcome(choice.Server(), kind, serviceTime).WithRequest(fingerprint))
 		f.reportCrashes(vm)
 	}
 	retry := func() { f.attempt(vm, query.Excluding(s.id), fingerprint, poison, attempts-1) }
--- a/internal/duty/brassignment/assigner.go
+++ b/internal/duty/brassignment/assigner.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	assigner := brassignment.New(clock, self, aggregator, detector)
+//	assigner := brassignment.New(clock, self, aggregator, detector, journal)
 //	replicator.Subscribe(assigner.Views())
 //	group.Start(assigner.Duty())
 //	assignment, err := assigner.Place(ctx, query, 50*time.Millisecond)
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"bergamotroad.example/bergamotroad/internal/core/brclock"
 	"bergamotroad.example/bergamotroad/internal/core/brduty"
@@ -63,11 +64,24 @@
 	ReportCrash(fingerprint brrequest.Fingerprint, server string)
 }
 
+// Journal logs changes in the state of servers.
+type Journal interface {
+	// StateChange logs a change in the VM's view of the system.
+	StateChange(change string, fields ...any)
+}
+
+// Values of the metric's label for what servers say in their responses.
+const (
+	noticeLeaving = "leaving"
+	noticeQuiet   = "quiet"
+)
+
 // Assignment is the server assigned to a request, or none. It is immutable.
 type Assignment struct {
 	choice        brplacement.Choice
 	assigned      bool
 	hasCandidates bool
+	retryAfter    time.Duration
 	waiting       int
 }
 
@@ -77,9 +91,13 @@
 // Assigned reports whether a server was chosen.
 func (a Assignment) Assigned() bool { return a.assigned }
 
-// HasCandidates reports whether any server may run the request, whatever its load.
+// HasCandidates reports whether any server may run the request now, whatever its load.
 func (a Assignment) HasCandidates() bool { return a.hasCandidates }
 
+// RetryAfter returns the time until a server wants requests again if all servers that may
+// run the request want none now, or else 0.
+func (a Assignment) RetryAfter() time.Duration { return a.retryAfter }
+
 // Waiting returns the number of requests in the queue.
 func (a Assignment) Waiting() int { return a.waiting }
 
@@ -101,22 +119,32 @@
 type Assigner struct {
 	duty    *brduty.Duty[message, *brfleet.View]
 	answers *brring.ReplyPool[Assignment]
+	notices *prometheus.CounterVec
 }
 
 // New returns the duty of a VM.
-func New(clock brclock.Clock, self brfleet.VM, aggregator *braggregator.Aggregator, detector PoisonDetector) *Assigner {
+func New(clock brclock.Clock, self brfleet.VM, aggregator *braggregator.Aggregator, detector PoisonDetector, journal Journal) *Assigner {
+	notices := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "bergamotroad_server_notices_total",
+		Help: "Responses by which a server said that it shuts down (leaving), or for how long it wants no requests (quiet).",
+	}, []string{"notice"})
 	h := &handler{
 		clock: clock, placer: brplacement.New(self.Name(), self.Region()), retryBudget: brretry.NewBudget(),
 		aggregator: aggregator, detector: detector,
 		view: &brfleet.View{}, tallies: map[uint64]brstatus.Tally{},
+		journal: journal, notices: notices,
 	}
 	return &Assigner{
 		duty: brduty.New[message, *brfleet.View]("placing", h, clock,
 			brduty.WithCapacity(queueCapacity), brduty.WithReserve(queueReserve), brduty.WithPeriod(idlePeriod)),
 		answers: brring.NewReplyPool[Assignment](),
+		notices: notices,
 	}
 }
 
+// Collectors returns the duty's metrics.
+func (a *Assigner) Collectors() []prometheus.Collector { return []prometheus.Collector{a.notices} }
+
 // Duty returns the duty for a group to start.
 func (a *Assigner) Duty() brduty.Runner { return a.duty }
 
--- a/internal/duty/brassignment/handler.go
+++ b/internal/duty/brassignment/handler.go
@@ -5,8 +5,11 @@
 	"maps"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"bergamotroad.example/bergamotroad/internal/core/brclock"
 	"bergamotroad.example/bergamotroad/internal/core/brring"
+	"bergamotroad.example/bergamotroad/internal/decide/brbackoff"
 	"bergamotroad.example/bergamotroad/internal/decide/brplacement"
 	"bergamotroad.example/bergamotroad/internal/decide/brretry"
 	"bergamotroad.example/bergamotroad/internal/duty/braggregator"
@@ -25,6 +28,8 @@
 	detector    PoisonDetector
 	view        *brfleet.View
 	tallies     map[uint64]brstatus.Tally
+	journal     Journal
+	notices     *prometheus.CounterVec
 }
 
 // Handle processes one message.
@@ -36,8 +41,7 @@
 	case kindRetry:
 		h.retry(now, m)
 	case kindOutcome:
-		h.placer.RecordOutcome(now, m.outcome)
-		h.reportCrashes()
+		h.recordOutcome(now, m.outcome)
 		h.tally(m.result)
 		h.serve(now)
 	case kindExposures:
@@ -65,6 +69,43 @@
 	}
 }
 
+// recordOutcome records how a request ended. If its server wants no more requests, those
+// that wait for no other server are answered at once.
+func (h *handler) recordOutcome(now time.Time, outcome brplacement.Outcome) {
+	switch server := outcome.Server(); h.placer.RecordOutcome(now, outcome) {
+	case brbackoff.Left:
+		h.notices.WithLabelValues(noticeLeaving).Inc()
+		h.journal.StateChange("server leaves", "server", server.ID(), "service", server.Service(), "address", server.Address(), "started", server.StartUnixMilli())
+		h.answerHopeless(now)
+	case brbackoff.Quiet:
+		h.notices.WithLabelValues(noticeQuiet).Inc()
+		h.journal.StateChange("server wants no requests", "server", server.ID(), "service", server.Service(), "retry_after_ms", outcome.Report().RetryAfter().Milliseconds())
+		h.answerHopeless(now)
+	default:
+	}
+	h.reportCrashes()
+}
+
+// answerHopeless answers the waiting requests that no server may run any more.
+func (h *handler) answerHopeless(now time.Time) {
+	h.queue.Serve(func(query brplacement.Query, reply brring.Reply[Assignment]) bool {
+		availability := h.placer.Availability(now, query)
+		if !availability.HasCandidates() {
+			reply.Answer(h.unassigned(now, availability))
+		}
+		return !availability.HasCandidates()
+	})
+}
+
+// unassigned returns the assignment of a request for which no server has room.
+func (h *handler) unassigned(now time.Time, availability brplacement.Availability) Assignment {
+	assignment := Assignment{hasCandidates: availability.HasCandidates(), waiting: h.queue.Len()}
+	if until, quiet := availability.QuietUntil(); quiet {
+		assignment.retryAfter = until.Sub(now)
+	}
+	return assignment
+}
+
 // Due returns the time until the queue is scanned again, if any request is queued.
 func (h *handler) Due(now time.Time) (time.Duration, bool) {
 	next, waiting := h.queue.NextExpiry()
@@ -79,8 +120,9 @@
 			return
 		}
 	}
-	if !h.placer.HasCandidates(now, m.query) {
-		m.reply.Answer(Assignment{waiting: h.queue.Len()})
+	availability := h.placer.Availability(now, m.query)
+	if !availability.HasCandidates() {
+		m.reply.Answer(h.unassigned(now, availability))
 		return
 	}
 	if m.maxWait <= 0 || !h.queue.Add(m.query, now.Add(m.maxWait), m.reply) {
@@ -91,12 +133,14 @@
 }
 
 func (h *handler) retry(now time.Time, m message) {
-	if !h.retryBudget.Spend(m.query.Service()) {
-		m.reply.Answer(Assignment{hasCandidates: true, waiting: h.queue.Len()})
-		return
+	if h.retryBudget.Spend(m.query.Service()) {
+		if choice, ok := h.placer.Pick(now, m.query); ok {
+			m.reply.Answer(Assignment{choice: choice, assigned: true})
+			return
+		}
 	}
-	choice, ok := h.placer.Pick(now, m.query)
-	m.reply.Answer(Assignment{choice: choice, assigned: ok, hasCandidates: true, waiting: h.queue.Len()})
+	// The caller's next attempt may use all servers again.
+	m.reply.Answer(h.unassigned(now, h.placer.Availability(now, m.query.WithoutExclusions())))
 }
 
 // serve tries to assign the queued requests to servers, in queue order.
--- a/internal/peer/brbackend/client.go
+++ b/internal/peer/brbackend/client.go
@@ -23,6 +23,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -62,21 +63,11 @@
 	return &Client{transport: transport}
 }
 
-// NewTransport returns the transport for backend servers.
-func NewTransport() *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return NewTransportWithDial(dialer.DialContext)
-}
-
-// NewTransportWithDial returns the transport for backend servers with connections
-// opened by dial.
-func NewTransportWithDial(dial DialFunc) *http.Transport {
-	return &http.Transport{
-		DialContext:            countingDial(dial),
-		DisableCompression:     true,
-		MaxIdleConnsPerHost:    maxIdleConnections,
-		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+// Retire closes the connections to a server that shuts down, each as soon as it is not
+// in use. Only a Transport knows its connections by address.
+func (c *Client) Retire(address string) {
+	if t, ok := c.transport.(*Transport); ok {
+		t.Retire(address)
 	}
 }
 
@@ -104,5 +95,29 @@
 	if err != nil {
 		return nil, ErrOutcomeUnknown{cause: err}
 	}
+	response.Body = &trackedBody{ReadCloser: response.Body, tracker: tracker}
 	return response, nil
 }
+
+// Abandon closes the connection of a response that belongs to another request, so that the
+// response to the request itself, which may still arrive, is not taken for a later one's.
+func Abandon(response *http.Response) {
+	if body, ok := response.Body.(*trackedBody); ok {
+		body.tracker.closeConnections()
+	}
+	_ = response.Body.Close()
+}
+
+// trackedBody is the body of a response with the connections of its request.
+type trackedBody struct {
+	io.ReadCloser
+	tracker *writeTracker
+}
+
+// untracked returns the body without the connections of its request.
+func untracked(body io.ReadCloser) io.ReadCloser {
+	if tracked, ok := body.(*trackedBody); ok {
+		return tracked.ReadCloser
+	}
+	return body
+}
--- a/internal/peer/brbackend/connection.go
+++ b/internal/peer/brbackend/connection.go
@@ -1,7 +1,6 @@
 package brbackend
 
 import (
-	"context"
 	"net"
 	"sync"
 
@@ -14,9 +13,12 @@
 // writes. HTTP/1.1 uses it for one request at a time.
 type connection struct {
 	net.Conn
+	onClose       func()
 	mutex         sync.Mutex
 	writtenBytes  int64
 	writesBlocked bool
+	busy          bool // a request was written and its response is not complete
+	retired       bool // to be closed as soon as it is not busy
 }
 
 // Write writes data unless writes are blocked. The bytes are counted before they
@@ -39,9 +41,40 @@
 		return false
 	}
 	c.writtenBytes += bytes
+	c.busy = c.busy || bytes > 0
 	return true
 }
 
+// retire closes the connection as soon as it is not in use. Writes are blocked before it
+// is closed, so that a request which is assigned to it meanwhile is known not to be sent.
+func (c *connection) retire() {
+	c.mutex.Lock()
+	c.retired = true
+	idle := !c.busy
+	c.writesBlocked = c.writesBlocked || idle
+	c.mutex.Unlock()
+	if idle {
+		_ = c.Close()
+	}
+}
+
+// setIdle records that the transport keeps the connection for another request.
+func (c *connection) setIdle() {
+	c.mutex.Lock()
+	c.busy = false
+	retired := c.retired
+	c.mutex.Unlock()
+	if retired {
+		c.retire()
+	}
+}
+
+// Close closes the connection.
+func (c *connection) Close() error {
+	c.onClose()
+	return c.Conn.Close()
+}
+
 // written returns the number of bytes that may have been sent so far.
 func (c *connection) written() int64 {
 	c.mutex.Lock()
@@ -60,14 +93,3 @@
 	c.writesBlocked = true
 	return true
 }
-
-// countingDial wraps dial so that its connections count written bytes.
-func countingDial(dial DialFunc) DialFunc {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, errors.Errorf("dial %s: %w", address, err)
-		}
-		return &connection{Conn: conn}, nil
-	}
-}
--- a/internal/peer/brbackend/response.go
+++ b/internal/peer/brbackend/response.go
@@ -64,7 +64,7 @@
 func isCloseDelimited(response *http.Response) bool {
 	return response.ContentLength < 0 &&
 		response.ProtoMajor == 1 &&
-		response.Body != http.NoBody &&
+		untracked(response.Body) != http.NoBody &&
 		!slices.Contains(response.TransferEncoding, "chunked")
 }
 
--- a/internal/peer/brbackend/tracker.go
+++ b/internal/peer/brbackend/tracker.go
@@ -20,7 +20,7 @@
 }
 
 func (t *writeTracker) trace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: t.gotConnection}
+	return &httptrace.ClientTrace{GotConn: t.gotConnection, PutIdleConn: t.putIdleConnection}
 }
 
 func (t *writeTracker) gotConnection(info httptrace.GotConnInfo) {
@@ -34,6 +34,31 @@
 	t.uses = append(t.uses, connectionUse{connection: conn, writtenBefore: conn.written()})
 }
 
+// putIdleConnection is called when the response is complete and the transport keeps the
+// connection for another request.
+func (t *writeTracker) putIdleConnection(err error) {
+	if c := t.lastConnection(); err == nil && c != nil {
+		c.setIdle()
+	}
+}
+
+// lastConnection returns the connection on which the request was written last, or nil.
+func (t *writeTracker) lastConnection() *connection {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if len(t.uses) == 0 {
+		return nil
+	}
+	return t.uses[len(t.uses)-1].connection
+}
+
+// closeConnections closes the connection on which the request was written last.
+func (t *writeTracker) closeConnections() {
+	if c := t.lastConnection(); c != nil {
+		_ = c.Close()
+	}
+}
+
 // blockUnsent blocks later writes on each connection on which no byte of the
 // request has been written, and reports whether that is true of all of them.
 func (t *writeTracker) blockUnsent() bool {
--- a/internal/service/brentryvm/fronts.go
+++ b/internal/service/brentryvm/fronts.go
@@ -26,7 +26,7 @@
 	callers, closeConns := factory.Callers(v.clock, proxy)
 	v.closeConns = closeConns
 	registry := prometheus.NewRegistry()
-	registry.MustRegister(proxy.Collectors()...)
+	registry.MustRegister(v.collectors...)
 	registry.MustRegister(&collector{vm: v})
 	handlers := map[string]http.Handler{
 		v.config.self.CallerAddress(): callers,
--- a/internal/service/brentryvm/vm.go
+++ b/internal/service/brentryvm/vm.go
@@ -21,6 +21,7 @@
 	"sync/atomic"
 
 	"github.com/go-faster/errors"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"bergamotroad.example/bergamotroad/internal/core/brclock"
 	"bergamotroad.example/bergamotroad/internal/core/brduty"
@@ -70,6 +71,7 @@
 	duties     []brduty.Runner
 	servers    []*http.Server
 	listeners  []net.Listener
+	collectors []prometheus.Collector
 	closeConns func()
 	leaving    atomic.Bool
 }
@@ -116,14 +118,17 @@
 func (v *VM) addProxy(adapter Adapter) *brproxy.Proxy {
 	detector := brquarantine.New[brpoison.ConcurrentPolicy](v.clock, eventLogger{journal: v.journal}, v.aggregator)
 	v.aggregator.SetListener(detector)
-	assigner := brassignment.New(v.clock, v.config.self, v.aggregator, detector)
+	assigner := brassignment.New(v.clock, v.config.self, v.aggregator, detector, v.journal)
 	v.replicator.Subscribe(assigner.Views())
+	v.collectors = append(v.collectors, assigner.Collectors()...)
 	v.enforcer = brallowance.New(v.clock, v.config.self.Name(), v.config.bounds, v.aggregator, v.replicator)
 	recorder := brresult.New(v.clock, adapter.registry, v.journal)
 	controller := brcanary.New(v.clock, v.config.self, v.Bounds, v.replicator, v.aggregator, assigner, recorder, v.journal)
 	v.duties = append(v.duties, detector.Duty(), assigner.Duty(), v.enforcer.Duty(), recorder.Duty(), controller.Duty())
 	limiter := brquotalimiter.New(v.clock, v.config.self.Name(), v.enforcer, v.syncer, v.client)
-	return brproxy.New(v.clock, v.replicator, limiter, assigner, detector, adapter.upstream, v.journal)
+	proxy := brproxy.New(v.clock, v.replicator, limiter, assigner, detector, adapter.upstream, v.journal)
+	v.collectors = append(v.collectors, proxy.Collectors()...)
+	return proxy
 }
 
 func otherRegions(config Config) []string {
--- a/internal/service/brexplain/explain.go
+++ b/internal/service/brexplain/explain.go
@@ -34,9 +34,12 @@
 // stateMessages are the log messages about changes of a VM's state.
 var stateMessages = []string{
 	"record changed", "source changed", "source lost", "store lost", "store regained",
-	"rollout ruled", "VM started", "VM stops", "settings reloaded", "log lines left out",
+	"rollout ruled", "VM started", "VM stops", "VM failed", "settings reloaded", "log lines left out",
 }
 
+// serverMessages are the log messages about a server, besides its record.
+var serverMessages = []string{"server leaves", "server wants no requests"}
+
 // omittedFields are the fields that String does not list by name: it prints them at the
 // start of the line, or they do not help the reader.
 var omittedFields = []string{"time", "msg", "level", "vm", "request"}
@@ -129,6 +132,9 @@
 	if l.message == "record changed" {
 		subject += " " + stringField(l.fields, "area") + " " + stringField(l.fields, "key")
 	}
+	if slices.Contains(serverMessages, l.message) {
+		subject += " " + stringField(l.fields, "server")
+	}
 	return subject
 }
 
@@ -150,12 +156,16 @@
 	return text
 }
 
+// latestOfServer returns the latest lines of a VM about a server: its record, and what the
+// server said in its responses.
 func latestOfServer(latest map[string]line, vm, server string) []string {
-	entry, ok := latest[vm+" record changed servers "+server]
-	if !ok {
-		return nil
+	text := []string{}
+	for _, message := range append([]string{"record changed servers"}, serverMessages...) {
+		if entry, ok := latest[vm+" "+message+" "+server]; ok {
+			text = append(text, entry.String())
+		}
 	}
-	return []string{entry.String()}
+	return text
 }
 
 // String returns the line as text: the time, the VM and the message, then the fields
--- a/internal/service/brproxy/attempt.go
+++ b/internal/service/brproxy/attempt.go
@@ -9,7 +9,6 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 
-	"bergamotroad.example/bergamotroad/internal/core/broption"
 	"bergamotroad.example/bergamotroad/internal/decide/brplacement"
 	"bergamotroad.example/bergamotroad/internal/duty/brassignment"
 	"bergamotroad.example/bergamotroad/internal/model/brfleet"
@@ -66,7 +65,7 @@
 		}
 		next, err := p.servers.Retry(ctx, j.query)
 		if err != nil || !next.Assigned() {
-			return writeBuffered(j, attempt)
+			return writeBuffered(j, attempt.withRetryAfter(j, next))
 		}
 		p.journal.Failure(j.request.ID(), "tried again", "server", j.choice.Server().ID(), "cause", attempt.cause(), "next", next.Choice().Server().ID())
 		assignment = next
@@ -88,11 +87,17 @@
 	return minOverloadRetryAfter + spread
 }
 
+// refuseUnplaced refuses a request for which no server has room. If all servers want no
+// requests for a time, the caller is told when that ends.
 func refuseUnplaced(j *job, assignment brassignment.Assignment) Result {
-	if !assignment.HasCandidates() {
+	switch {
+	case assignment.RetryAfter() > 0:
+		return refused(brrequest.ReasonOverloaded, assignment.RetryAfter()+j.overloadRetryAfter())
+	case !assignment.HasCandidates():
 		return refused(brrequest.ReasonNoServer, noServerRetryAfter)
+	default:
+		return refused(brrequest.ReasonOverloaded, j.overloadRetryAfter())
 	}
-	return refused(brrequest.ReasonOverloaded, j.overloadRetryAfter())
 }
 
 // attemptResult is the result of one attempt.
@@ -110,6 +115,15 @@
 	body   []byte
 }
 
+// withRetryAfter returns the result with the time at which the caller may retry, if the
+// request did not run and all other servers want no requests for a time.
+func (a attemptResult) withRetryAfter(j *job, next brassignment.Assignment) attemptResult {
+	if a.result.fate == brrequest.FateNotRun && next.RetryAfter() > 0 {
+		a.result.retryAfter = next.RetryAfter() + j.overloadRetryAfter()
+	}
+	return a
+}
+
 func (a attemptResult) cause() string {
 	if a.err != nil {
 		return a.err.Error()
@@ -154,18 +168,18 @@
 	j.tries++
 	j.query = j.query.Excluding(server.ID())
 	sent := p.clock.Now()
-	response, load, err := p.upstream.Send(ctx, server, j.request, j.organisation.Name(), j.deadline.Sub(sent), j.newCall())
+	response, report, err := p.upstream.Send(ctx, server, j.request, j.organisation.Name(), j.deadline.Sub(sent), j.newCall())
 	attempt, kind := readOutcome(ctx, j, response, err)
 	duration := p.clock.Now().Sub(sent)
 	if attempt.result.fate != brrequest.FateNotRun {
 		j.runs++
 	}
-	p.recordOutcome(ctx, j, server, kind, duration, load)
+	p.recordOutcome(ctx, j, server, kind, duration, report)
 	p.metrics.observeAttempt(kind, duration)
 	return attempt
 }
 
-func (p *Proxy) recordOutcome(ctx context.Context, j *job, server brfleet.Server, kind brrequest.OutcomeKind, duration time.Duration, load broption.Option[brfleet.Load]) {
+func (p *Proxy) recordOutcome(ctx context.Context, j *job, server brfleet.Server, kind brrequest.OutcomeKind, duration time.Duration, report brfleet.ServerReport) {
 	versionResult := brassignment.VersionResult{}
 	slow := j.route.TargetLatency() > 0 && duration > slowFactor*j.route.TargetLatency()
 	switch kind {
@@ -183,8 +197,8 @@
 	if kind != brrequest.OutcomeAnswered {
 		latency = 0
 	}
-	outcome := brplacement.NewOutcome(server.ID(), kind, latency).
-		WithLoad(load).
+	outcome := brplacement.NewOutcome(server, kind, latency).
+		WithReport(report).
 		WithRequest(j.fingerprint).
 		WithServerDown(kind == brrequest.OutcomeBroken && p.isDead(ctx, server))
 	p.servers.ReportOutcome(outcome, versionResult)
--- a/internal/service/brproxy/proxy.go
+++ b/internal/service/brproxy/proxy.go
@@ -22,7 +22,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"bergamotroad.example/bergamotroad/internal/core/brclock"
-	"bergamotroad.example/bergamotroad/internal/core/broption"
 	"bergamotroad.example/bergamotroad/internal/decide/brplacement"
 	"bergamotroad.example/bergamotroad/internal/decide/brquota"
 	"bergamotroad.example/bergamotroad/internal/duty/brassignment"
@@ -35,8 +34,9 @@
 // Upstream sends requests to backend servers.
 type Upstream interface {
 	// Send sends a request to a server once; remaining is the time until its deadline.
-	// It returns the errors of brbackend.
-	Send(ctx context.Context, server brfleet.Server, request brrequest.Request, organisation string, remaining time.Duration, call brmessage.Call) (*brmessage.Response, broption.Option[brfleet.Load], error)
+	// It returns what the server said about itself, also with an error, and the errors of
+	// brbackend.
+	Send(ctx context.Context, server brfleet.Server, request brrequest.Request, organisation string, remaining time.Duration, call brmessage.Call) (*brmessage.Response, brfleet.ServerReport, error)
 	// IsDead reports whether nothing listens on a server's address any more.
 	IsDead(ctx context.Context, server brfleet.Server) bool
 }
--- a/tests/soak/checker_test.go
+++ b/tests/soak/checker_test.go
@@ -60,10 +60,11 @@
 	violations   []string
 	tolerated    map[string]int         // tolerated events by kind
 	crashes      map[string][]time.Time // of servers, by the call that crashed them
+	notices      notices
 }
 
 func newChecker(d *disturbances, h *configHistory) *checker {
-	return &checker{disturbances: d, history: h, requests: map[string]*request{}, tolerated: map[string]int{}, crashes: map[string][]time.Time{}}
+	return &checker{disturbances: d, history: h, requests: map[string]*request{}, tolerated: map[string]int{}, crashes: map[string][]time.Time{}, notices: newNotices()}
 }
 
 // reportViolation records a violation of a guarantee.
@@ -119,6 +120,7 @@
 	c.checkDraining(r, a)
 	c.checkDeadlines(r, a)
 	c.checkPoison(r, a)
+	c.checkNotices(r, a)
 }
 
 // checkPoison checks that a request no longer reaches servers once every VM can know
@@ -214,6 +216,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	r.response, r.failure, r.ended = response, failure, time.Now()
+	c.recordLeaving(r)
 	switch {
 	case !r.disconnected.IsZero():
 	case failure != nil:
--- a/tests/soak/deployment_test.go
+++ b/tests/soak/deployment_test.go
@@ -185,6 +185,7 @@
 	s := brstandin.NewUnregisteredServer(d.store, id, service, domain, version)
 	s.SetServiceTime(serviceTime)
 	s.OnRequest(d.checker.checkArrival)
+	s.OnRefusal(d.checker.recordRefusal)
 	s.CrashOn(func(a brstandin.ReceivedRequest) bool {
 		poison := isPoison(a.Text())
 		if poison {
--- a/tests/soak/fault_test.go
+++ b/tests/soak/fault_test.go
@@ -103,6 +103,8 @@
 	{name: "server answers with internal errors", begin: serverFault(brstandin.FaultInternalError)},
 	{name: "server truncates responses", begin: serverFault(brstandin.FaultTruncate)},
 	{name: "server sheds requests", begin: serverFault(brstandin.FaultShed)},
+	{name: "server wants no requests for a time", begin: serverFault(brstandin.FaultQuiet)},
+	{name: "server says that it leaves", begin: atServer(leaveServer)},
 	{name: "server responds twice", begin: serverFault(brstandin.FaultDuplicateResponse)},
 	{name: "server is added", begin: addServer},
 	{name: "route moves to another service", begin: moveRoute},
