--- a/internal/command/brcommand/root.go
+++ b/internal/command/brcommand/root.go
@@ -14,6 +14,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log"
 	"os"
 
 	"github.com/mattn/go-isatty"
@@ -26,6 +27,9 @@
 func Main(arguments []string, output, errorOutput io.Writer) int {
 	ctx, stop := signalContext(context.Background(), isatty.IsTerminal(os.Stdin.Fd()))
 	defer stop()
+	// The transport of net/http writes a line for each response that nobody asked for. A
+	// faulty server must not fill the log.
+	log.SetOutput(io.Discard)
 	root := newRoot()
 	root.SetArgs(arguments)
 	root.SetOut(output)
--- a/internal/peer/brbackend/client.go
+++ b/internal/peer/brbackend/client.go
@@ -8,6 +8,9 @@
 // Bergamotroad-Shed: 1 means that the request was rejected before it ran. No
 // other response means this.
 //
+// A server that echoes X-Request-Id shows which request a response belongs to. A response
+// with another identifier, such as a second copy that arrives late, is not used.
+//
 // A response body whose end is marked only by the close of its connection is
 // always reported as truncated, because a truncated body looks the same.
 //
@@ -29,6 +32,8 @@
 	"net/http/httptrace"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"bergamotroad.example/bergamotroad/internal/model/brconfig"
 	"bergamotroad.example/bergamotroad/internal/model/brmessage"
 )
@@ -49,6 +54,9 @@
 	maxIdleConnections     = 64 // per server
 )
 
+// fieldRequestID identifies a request; servers echo it.
+const fieldRequestID = "X-Request-Id"
+
 // DialFunc opens a connection.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -77,6 +85,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if id := response.Header.Get(fieldRequestID); id != "" && id != call.Fields().First(fieldRequestID) {
+		Abandon(response)
+		return nil, ErrOutcomeUnknown{cause: errors.Errorf("response is one to request %q", id)}
+	}
 	return decodeResponse(response)
 }
 
--- a/internal/peer/brbackend/response.go
+++ b/internal/peer/brbackend/response.go
@@ -18,7 +18,10 @@
 	FieldShed = "Bergamotroad-Shed"
 	shedValue = "1"
 
-	maxShedBodyBytes = 4 << 10 // bytes drained so that the connection can be reused
+	// maxDiscardedBytes and discardTimeout bound what is read of a body that is not used,
+	// so that its connection can be reused.
+	maxDiscardedBytes = 4 << 10
+	discardTimeout    = 100 * time.Millisecond
 )
 
 // decodeResponse converts an HTTP response to a brmessage.Response, or to the error
@@ -49,9 +52,25 @@
 	return response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(FieldShed) == shedValue
 }
 
+// Discard ends a response that is not used, without waiting for its body: a small body that
+// comes soon is read, so that the connection can be reused. Otherwise the connection is
+// closed.
+func Discard(response *http.Response) {
+	body := response.Body
+	if response.ContentLength <= 0 || response.ContentLength > maxDiscardedBytes {
+		_ = body.Close()
+		return
+	}
+	go func() {
+		timer := time.AfterFunc(discardTimeout, func() { _ = body.Close() })
+		defer timer.Stop()
+		_, _ = io.CopyN(io.Discard, body, response.ContentLength)
+		_ = body.Close()
+	}()
+}
+
 func decodeShed(response *http.Response) ErrShed {
-	_, _ = io.CopyN(io.Discard, response.Body, maxShedBodyBytes)
-	_ = response.Body.Close()
+	Discard(response)
 	seconds, err := strconv.ParseUint(response.Header.Get("Retry-After"), 10, 16)
 	if err != nil {
 		return ErrShed{}
