Spare connections in use again when a server leaves

Cause: net/http reports a connection as idle after it has put it into its pool. A request that took it meanwhile would have been cut off when the server's idle connections are closed.

Change: a connection counts its uses, and a late report about an earlier use says nothing about the current one. Placer.Availability stops at the first server that wants requests.

--- a/internal/decide/brplacement/availability.go
+++ b/internal/decide/brplacement/availability.go
@@ -15,18 +15,14 @@
 // QuietUntil returns the earliest time at which a server wants requests again, if all that
 // may run the request want none now.
 func (a Availability) QuietUntil() (time.Time, bool) {
-	return a.quietUntil, !a.candidates && !a.quietUntil.IsZero()
+	return a.quietUntil, !a.quietUntil.IsZero()
 }
 
-// with returns the availability with one more server that may run the request, now or
-// after the time for which it wants no requests.
-func (a Availability) with(quietUntil time.Time, isQuiet bool) Availability {
-	if !isQuiet {
-		a.candidates = true
-		return a
-	}
-	if a.quietUntil.IsZero() || quietUntil.Before(a.quietUntil) {
-		a.quietUntil = quietUntil
+// withQuiet returns the availability with one more server that may run the request after
+// the time for which it wants none.
+func (a Availability) withQuiet(until time.Time) Availability {
+	if a.quietUntil.IsZero() || until.Before(a.quietUntil) {
+		a.quietUntil = until
 	}
 	return a
 }
--- a/internal/decide/brplacement/placer.go
+++ b/internal/decide/brplacement/placer.go
@@ -167,10 +167,14 @@
 	rollout, hasRollout := p.view.Rollout(query.service)
 	for _, allowed := range s.versions.choose(query.request, rollout, hasRollout, p.exposures[query.service]) {
 		for _, srv := range s.servers {
-			if p.eligible(now, srv, query, allowed) {
-				until, isQuiet := p.backoff.QuietUntil(now, srv.registration)
-				availability = availability.with(until, isQuiet)
+			if !p.eligible(now, srv, query, allowed) {
+				continue
 			}
+			until, isQuiet := p.backoff.QuietUntil(now, srv.registration)
+			if !isQuiet {
+				return Availability{candidates: true}
+			}
+			availability = availability.withQuiet(until)
 		}
 	}
 	return availability
--- a/internal/peer/brbackend/client.go
+++ b/internal/peer/brbackend/client.go
@@ -115,7 +115,7 @@
 // response to the request itself, which may still arrive, is not taken for a later one's.
 func Abandon(response *http.Response) {
 	if body, ok := response.Body.(*trackedBody); ok {
-		body.tracker.closeConnections()
+		body.tracker.closeConnection()
 	}
 	_ = response.Body.Close()
 }
--- a/internal/peer/brbackend/connection.go
+++ b/internal/peer/brbackend/connection.go
@@ -17,6 +17,7 @@
 	mutex         sync.Mutex
 	writtenBytes  int64
 	writesBlocked bool
+	uses          int  // requests to which the connection was assigned
 	busy          bool // a request was written and its response is not complete
 	retired       bool // to be closed as soon as it is not busy
 }
@@ -58,11 +59,22 @@
 	}
 }
 
-// setIdle records that the transport keeps the connection for another request.
-func (c *connection) setIdle() {
+// acquire records that the connection is assigned to a request, and returns the number of
+// this use.
+func (c *connection) acquire() int {
 	c.mutex.Lock()
-	c.busy = false
-	retired := c.retired
+	defer c.mutex.Unlock()
+	c.uses++
+	return c.uses
+}
+
+// setIdle records that a use has ended and the connection is kept for another request. It
+// may be called late, when the connection is in use again.
+func (c *connection) setIdle(use int) {
+	c.mutex.Lock()
+	ended := use == c.uses
+	c.busy = c.busy && !ended
+	retired := c.retired && ended
 	c.mutex.Unlock()
 	if retired {
 		c.retire()
--- a/internal/peer/brbackend/tracker.go
+++ b/internal/peer/brbackend/tracker.go
@@ -16,6 +16,7 @@
 // number of bytes written on it until then.
 type connectionUse struct {
 	connection    *connection
+	number        int // of the connection's use
 	writtenBefore int64
 }
 
@@ -31,31 +32,31 @@
 		t.untracked = true
 		return
 	}
-	t.uses = append(t.uses, connectionUse{connection: conn, writtenBefore: conn.written()})
+	t.uses = append(t.uses, connectionUse{connection: conn, number: conn.acquire(), writtenBefore: conn.written()})
 }
 
 // putIdleConnection is called when the response is complete and the transport keeps the
 // connection for another request.
 func (t *writeTracker) putIdleConnection(err error) {
-	if c := t.lastConnection(); err == nil && c != nil {
-		c.setIdle()
+	if use, ok := t.lastUse(); ok && err == nil {
+		use.connection.setIdle(use.number)
 	}
 }
 
-// lastConnection returns the connection on which the request was written last, or nil.
-func (t *writeTracker) lastConnection() *connection {
+// lastUse returns the use of the connection on which the request was written last.
+func (t *writeTracker) lastUse() (connectionUse, bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if len(t.uses) == 0 {
-		return nil
+		return connectionUse{}, false
 	}
-	return t.uses[len(t.uses)-1].connection
+	return t.uses[len(t.uses)-1], true
 }
 
-// closeConnections closes the connection on which the request was written last.
-func (t *writeTracker) closeConnections() {
-	if c := t.lastConnection(); c != nil {
-		_ = c.Close()
+// closeConnection closes the connection on which the request was written last.
+func (t *writeTracker) closeConnection() {
+	if use, ok := t.lastUse(); ok {
+		_ = use.connection.Close()
 	}
 }
 
