--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -94,7 +94,9 @@
 		seeds = append(seeds, *firstSeed+uint64(i))
 	}
 	for _, r := range regressions {
-		seeds = append(seeds, r.seed)
+		if !slices.Contains(seeds, r.seed) {
+			seeds = append(seeds, r.seed)
+		}
 	}
 	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
