Treat servers as cold after an evacuation of their failure domain

Traced with the records' payloads in the log: the domain was cut off until 17.4 s, its servers registered again with cold_remaining_s 0, went cold as the evacuation ended at 18.015 s, and no report of it had come when all VMs sent to them.

A domain that comes back warm gets its share 3 s later.

--- a/internal/decide/brplacement/placer.go
+++ b/internal/decide/brplacement/placer.go
@@ -62,6 +62,7 @@
 	exposures map[string]Exposure
 	crashes   []Crash
 	backoff   *brbackoff.Tracker
+	returns   returns
 }
 
 // service holds the servers of one service.
@@ -82,6 +83,7 @@
 		services:  map[string]*service{},
 		exposures: map[string]Exposure{},
 		backoff:   brbackoff.New(vm),
+		returns:   newReturns(),
 	}
 }
 
@@ -132,6 +134,10 @@
 	if remaining := registration.ColdRemaining(); remaining > 0 && (!ok || s.registration.ColdRemaining() != remaining || s.coldUntil.IsZero()) {
 		s.coldUntil = now.Add(remaining)
 	}
+	if since, returned := p.returns.observe(now, registration.Domain(), p.view.Evacuated(registration.Domain())); returned {
+		coldTime := max(p.view.Policy().Service(registration.Service()).ColdTime(), recoveryTime)
+		s.coldUntil = latest(s.coldUntil, since.Add(coldTime))
+	}
 	s.registration = registration
 	return s
 }
--- a/internal/decide/brplacement/server.go
+++ b/internal/decide/brplacement/server.go
@@ -23,7 +23,8 @@
 	firstEjection   = 500 * time.Millisecond
 	longestEjection = 4 * time.Second
 	// recoveryTime is how long a server is treated as cold once it answers again
-	// after it was unreachable, since it may have restarted.
+	// after it was unreachable, since it may have restarted, and at least after an
+	// evacuation of its failure domain.
 	recoveryTime = 3 * time.Second
 	// faultWeight is the weight of a new answer in the fault rate.
 	faultWeight = 0.15
