--- a/internal/command/brcommand/root.go
+++ b/internal/command/brcommand/root.go
@@ -25,7 +25,7 @@
 
 // Main runs the program with its arguments and returns its exit code.
 func Main(arguments []string, output, errorOutput io.Writer) int {
-	ctx, stop := signalContext(context.Background(), isatty.IsTerminal(os.Stdin.Fd()))
+	ctx, stop := signalContext(context.Background(), isatty.IsTerminal(os.Stdin.Fd()), os.Exit)
 	defer stop()
 	// The transport of net/http writes a line for each response that nobody asked for. A
 	// faulty server must not fill the log.
--- a/internal/command/brcommand/signal.go
+++ b/internal/command/brcommand/signal.go
@@ -22,8 +22,8 @@
 // signalContext returns a context that is cancelled by the first SIGINT or SIGTERM, and a
 // function that releases it. Later SIGTERMs change nothing, since a supervisor may send
 // several: a stop ends within its own time limits. If interactive is true, a second SIGINT
-// aborts the stop, see brshutdown.WithAbort, and ends the program.
-func signalContext(parent context.Context, interactive bool) (context.Context, context.CancelFunc) {
+// aborts the stop, see brshutdown.WithAbort, and calls exit a little later.
+func signalContext(parent context.Context, interactive bool, exit func(code int)) (context.Context, context.CancelFunc) {
 	abortContext, abort := context.WithCancel(context.WithoutCancel(parent))
 	ctx, cancel := context.WithCancel(brshutdown.WithAbort(parent, abortContext))
 	// One place for each kind, so that a signal of one kind can't displace the other.
@@ -43,7 +43,7 @@
 			cancel()
 			if interactive && count == 2 {
 				abort()
-				time.AfterFunc(abortTimeout, func() { os.Exit(exitInterrupted) })
+				time.AfterFunc(abortTimeout, func() { exit(exitInterrupted) })
 			}
 		}
 	}()
