--- a/review/standin/leavers.go
+++ b/review/standin/leavers.go
@@ -10,19 +10,18 @@
 
 const (
 	// usualLookups and usualEntries are the usual requests a second.
-	usualLookups = 20.0
+	usualLookups = 26.0
 	usualEntries = 120.0
 	// hotFactor is how many times its usual the tenant sends. It does so hotCount times, from
 	// hotFrom on, for hotTime of each hotPeriod.
 	hotFactor = 7.5
-	hotCount  = 3
+	hotCount  = 6
 	hotFrom   = 3 * time.Second
-	hotTime   = 6500 * time.Millisecond
-	hotPeriod = 8 * time.Second
-	// leaverShare is the share of clients that leave, in the first leaveTime of hotTime.
+	hotTime   = 3 * time.Second
+	hotPeriod = 5 * time.Second
+	// leaverShare is the share of clients that leave while the tenant is hot.
 	leaverShare    = 0.3
-	leaveTime      = 5500 * time.Millisecond
-	leaversLength  = 90 * time.Second
+	leaversLength  = 95 * time.Second
 	lookupDeadline = 8 * time.Second
 	// objective is the latency objective of lookups. A client that leaves does so within half
 	// of it.
@@ -106,7 +105,7 @@
 		current, leaves := rate, false
 		hot := now - hotFrom
 		if disturbed && hot >= 0 && hot < hotCount*hotPeriod && hot%hotPeriod < hotTime {
-			leaves = hot%hotPeriod < leaveTime && rand.Float64() < leaverShare
+			leaves = rand.Float64() < leaverShare
 			current *= hotFactor
 		}
 		late := now > leaversLength-calmTime
