--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 )
 
@@ -21,13 +22,14 @@
 	server               *http.Server
 	slots, places        chan struct{}
 	sequence             int
+	runs                 atomic.Int64
 }
 
 // startBackend starts a server at a free port and registers it.
-func (d *deployment) startBackend(id, service string, work time.Duration) error {
+func (d *deployment) startBackend(id, service string, work time.Duration) (*backend, error) {
 	listener, err := net.Listen("tcp", d.prefix+"1:0")
 	if err != nil {
-		return err
+		return nil, err
 	}
 	b := &backend{
 		id: id, service: service, address: listener.Addr().String(), work: work,
@@ -38,7 +40,7 @@
 	go func() { _ = b.server.Serve(listener) }()
 	d.register(b)
 	d.log.printf("server %s of %s at %s is ready", id, service, b.address)
-	return nil
+	return b, nil
 }
 
 // register writes the server's entry.
@@ -92,6 +94,7 @@
 }
 
 func (b *backend) run(w http.ResponseWriter, r *http.Request, id string) {
+	b.runs.Add(1)
 	select {
 	case <-time.After(b.work):
 	case <-r.Context().Done():
--- a/review/standin/leavers.go
+++ b/review/standin/leavers.go
@@ -65,11 +65,12 @@
 	}
 	defer d.close("source changed", "VM ", "duty")
 	d.configure(route{"r-lookup", "/lookup/", "safe", "lookup", 8, 1}, route{"r-entry", "/entry/", "safe", "entry", 3, 0.4})
-	if err := d.startBackend("i-lookup", "lookup", 25*time.Millisecond); err != nil {
+	server, err := d.startBackend("i-lookup", "lookup", 25*time.Millisecond)
+	if err != nil {
 		return false, err
 	}
 	for i := range 6 {
-		if err := d.startBackend(fmt.Sprintf("i-entry-%d", i), "entry", 25*time.Millisecond); err != nil {
+		if _, err := d.startBackend(fmt.Sprintf("i-entry-%d", i), "entry", 25*time.Millisecond); err != nil {
 			return false, err
 		}
 	}
@@ -84,7 +85,10 @@
 	start := time.Now()
 	clients.Go(func() { d.send(start, &clients, "/lookup/", usualLookups, trouble, lookups) })
 	clients.Go(func() { d.send(start, &clients, "/entry/", usualEntries, false, entries) })
+	stop := make(chan struct{})
+	go d.logCounts(stop, lookups, server)
 	clients.Wait()
+	close(stop)
 	for name, c := range map[string]*counts{"lookup": lookups, "entry": entries} {
 		log.printf("%s: clients that stayed sent %d requests, %d served, %d refused with 503; %d clients left early; in the last %v %d sent, %d served",
 			name, c.sent, c.served, c.refused, c.left, calmTime, c.lateSent, c.lateGot)
@@ -95,6 +99,22 @@
 	return own < all/4, nil
 }
 
+// logCounts writes each second what became of the lookups so far, and whether the VM is ready.
+func (d *deployment) logCounts(stop <-chan struct{}, c *counts, server *backend) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Second):
+		}
+		ready := d.vms[0].ready()
+		c.mutex.Lock()
+		d.log.printf("lookups of clients that stayed: %d ended, %d served, %d refused; %d clients left; %d requests run by i-lookup, which has %d of %d slots in use; vm-1 ready: %t",
+			c.sent, c.served, c.refused, c.left, server.runs.Load(), len(server.slots), slots, ready)
+		c.mutex.Unlock()
+	}
+}
+
 // send sends requests of one kind at a steady rate, or hotFactor times as many while the tenant is hot.
 func (d *deployment) send(start time.Time, clients *sync.WaitGroup, path string, rate float64, disturbed bool, c *counts) {
 	for number := 0; ; number++ {
