Tell outages of the store from lost readers by failed reads

An outage is now known from reads that failed while another VM answered, or from the VM that sends the records: each sync tells for how long its sender knows the servers without a gap, and whether an outage came before. What one VM knows so refutes or confirms what another one assumes. The log tells each gap and what it was taken for.

--- a/internal/decide/brreplica/replica.go
+++ b/internal/decide/brreplica/replica.go
@@ -5,9 +5,16 @@
 // reverts to an older state: batches and records that are older than the known revision
 // are dropped.
 //
+// Entries of servers expire while the store is unavailable, although the servers are alive.
+// After an outage, such servers stay in the view for a grace period in which they can
+// register again. A gap in what this VM knows is no outage by itself: the VM that reads the
+// store may have failed. An outage is known from reads that failed here, or from the VM that
+// sends the records; see outage.go.
+//
 // # Usage
 //
 //	replica := brreplica.New(decoder)
+//	replica.RecordFailedRead(start, end)
 //	change := replica.Apply(now, batch, asOf)
 //	view := replica.View(now)
 package brreplica
@@ -20,18 +27,9 @@
 	"bergamotroad.example/bergamotroad/internal/model/brrecord"
 )
 
-const (
-	// outageThreshold is the time between two states of the store above which the
-	// store counts as having been unavailable in between. It is the time of two
-	// failed polls.
-	outageThreshold = 1500 * time.Millisecond
-	// reregistrationGrace is the time after an outage during which servers whose entries
-	// expired meanwhile may register again.
-	reregistrationGrace = 2500 * time.Millisecond
-	// maxTombstones is the maximum number of tombstones that an area keeps. A VM
-	// whose revision is older than that of dropped tombstones gets the whole area.
-	maxTombstones = 2048
-)
+// maxTombstones is the maximum number of tombstones that an area keeps. A VM
+// whose revision is older than that of dropped tombstones gets the whole area.
+const maxTombstones = 2048
 
 // Decoder decodes the payloads of records.
 type Decoder interface {
@@ -56,6 +54,8 @@
 	vms      map[string]brfleet.VM
 	retained map[string]retainedServer
 	graceEnd time.Time // end of the latest grace period
+	failures failedReads
+	peerAt   time.Time // when another VM answered last
 }
 
 // retainedServer is a server whose entry expired while the store was unavailable.
@@ -71,6 +71,16 @@
 	tombstoneHorizon uint64 // tombstones up to this revision may have been dropped
 	entries          map[string]brrecord.Record
 	asOf             time.Time
+	since            time.Time // start of the time up to asOf that is known without a gap; set for the servers
+	afterOutage      bool      // the store was unavailable before since
+}
+
+// coverage returns what is known of the time before asOf.
+func (a *area) coverage() brrecord.Coverage {
+	if a.since.IsZero() {
+		return brrecord.Coverage{}
+	}
+	return brrecord.NewCoverage(a.asOf.Sub(a.since), a.afterOutage)
 }
 
 // New returns an empty replica.
@@ -93,8 +103,12 @@
 type Change struct {
 	records  []brrecord.Record
 	failures []DecodeFailure
+	gap      Gap
 }
 
+// Gap returns the gap before the batch.
+func (c Change) Gap() Gap { return c.gap }
+
 // Records returns the records with new content.
 func (c Change) Records() []brrecord.Record { return c.records }
 
@@ -121,7 +135,9 @@
 	if a.known && batch.Revision() < a.revision {
 		return change
 	}
-	r.detectOutage(now, batch.Area(), a, asOf)
+	if batch.Area() == brrecord.AreaServers {
+		change.gap = r.extendCoverage(now, batch, asOf)
+	}
 	listed := brset.New[string]()
 	for _, record := range batch.Records() {
 		listed.Add(record.Key())
@@ -139,17 +155,6 @@
 	return change
 }
 
-// detectOutage starts the grace period for servers if the store was unavailable
-// before a batch that was current at asOf.
-func (r *Replica) detectOutage(now time.Time, id brrecord.Area, a *area, asOf time.Time) {
-	if id != brrecord.AreaServers || !a.known {
-		return
-	}
-	if asOf.Sub(a.asOf) > outageThreshold {
-		r.graceEnd = now.Add(reregistrationGrace)
-	}
-}
-
 // deleteUnlisted deletes the entries that a full batch does not list.
 func (r *Replica) deleteUnlisted(now time.Time, a *area, listed brset.Set[string], batch brrecord.Batch, change *Change) {
 	for key, record := range a.entries {
@@ -235,7 +240,8 @@
 				records = append(records, record)
 			}
 		}
-		batches = append(batches, brrecord.NewBatch(brrecord.Area(i), records, a.revision, full))
+		batch := brrecord.NewBatch(brrecord.Area(i), records, a.revision, full)
+		batches = append(batches, batch.WithCoverage(a.coverage()))
 	}
 	return batches
 }
--- a/internal/duty/brreplicator/duty.go
+++ b/internal/duty/brreplicator/duty.go
@@ -60,11 +60,20 @@
 	asOf  time.Time
 	from  string
 
+	failedRead  timeSpan
+	peerAnswers time.Time
+
 	known brrecord.Revisions
 	until time.Time
 	reply brring.Reply[[]brrecord.Batch]
 }
 
+// timeSpan is the time from start to end.
+type timeSpan struct {
+	start time.Time
+	end   time.Time
+}
+
 // Replicator is the handle of the duty; its methods may be called from any goroutine.
 type Replicator struct {
 	duty    *brduty.Duty[message, struct{}]
@@ -112,6 +121,16 @@
 	_ = r.duty.Queue().Send(message{batch: batch, asOf: asOf, from: from})
 }
 
+// RecordFailedRead records that this VM failed to read the servers from the store.
+func (r *Replicator) RecordFailedRead(start, end time.Time) {
+	_ = r.duty.Queue().Send(message{failedRead: timeSpan{start: start, end: end}})
+}
+
+// RecordPeer records that another VM answered this one.
+func (r *Replicator) RecordPeer(at time.Time) {
+	_ = r.duty.Queue().Send(message{peerAnswers: at})
+}
+
 // Await returns the changes after the revisions that another VM knows. If there are
 // none, it waits for changes, at most for the given time.
 func (r *Replicator) Await(ctx context.Context, known brrecord.Revisions, wait time.Duration) ([]brrecord.Batch, error) {
--- a/internal/duty/brreplicator/handler.go
+++ b/internal/duty/brreplicator/handler.go
@@ -43,12 +43,22 @@
 	return strings.ToValidUTF8(text[:maxCauseLength], "") + "…"
 }
 
-// Handle applies a batch or processes a call of Await.
+// Handle processes a message: a call of Await, a batch, or evidence of an outage of the
+// store.
 func (h *handler) Handle(_ context.Context, m message) {
-	if m.reply.IsExpected() {
+	switch {
+	case m.reply.IsExpected():
 		h.startWait(m)
-		return
+	case !m.failedRead.end.IsZero():
+		h.replica.RecordFailedRead(m.failedRead.start, m.failedRead.end)
+	case !m.peerAnswers.IsZero():
+		h.replica.RecordPeer(m.peerAnswers)
+	default:
+		h.apply(m)
 	}
+}
+
+func (h *handler) apply(m message) {
 	now := h.clock.Now()
 	change := h.replica.Apply(now, m.batch, m.asOf)
 	h.logChanges(now, m, change)
@@ -146,6 +156,10 @@
 }
 
 func (h *handler) logChanges(now time.Time, m message, change brreplica.Change) {
+	if gap := change.Gap(); gap.Length() > 0 {
+		h.journal.StateChange("gap in records", "area", m.batch.Area().String(), "length_ms", gap.Length().Milliseconds(),
+			"store_outage", gap.IsOutage(), "from", m.from)
+	}
 	age := now.Sub(m.asOf).Milliseconds()
 	for _, record := range change.Records() {
 		h.journal.StateChange("record changed", "area", record.Area().String(), "key", record.Key(),
--- a/internal/duty/brsyncer/duty.go
+++ b/internal/duty/brsyncer/duty.go
@@ -217,6 +217,7 @@
 	for _, b := range update.Batches() {
 		h.replicator.Apply(b, now.Add(-b.Age()), vm.Name())
 	}
+	h.replicator.RecordPeer(now)
 	h.aggregator.SetFleet(update.Fleet(), now.Add(-update.FleetAge()))
 	if !update.ReadsStore() || !isFresh(update.Batches()) {
 		return brsource.Stale
--- a/internal/duty/brwatch/duty.go
+++ b/internal/duty/brwatch/duty.go
@@ -127,7 +127,7 @@
 	batch, err := h.read(ctx)
 	if err != nil {
 		h.nextRead = h.clock.Now().Add(min(initialBackoff<<min(h.failures, 8), h.schedule.maxBackoff))
-		h.handleFailure(err)
+		h.handleFailure(now, err)
 		return
 	}
 	asOf := h.asOf(now)
@@ -164,9 +164,12 @@
 	return batch, err
 }
 
-func (h *handler) handleFailure(err error) {
+func (h *handler) handleFailure(requestedAt time.Time, err error) {
 	h.failures++
 	h.lastSuccess.Store(nil)
+	if h.area == brrecord.AreaServers {
+		h.replicator.RecordFailedRead(requestedAt, h.clock.Now())
+	}
 	if h.available {
 		h.available = false
 		h.journal.StateChange("store lost", "area", h.schedule.name, "error", err.Error())
--- a/internal/peer/brentry/sync.go
+++ b/internal/peer/brentry/sync.go
@@ -25,6 +25,8 @@
 	// addition to the time that it may wait: a few round trips between regions.
 	// The rest of the response may take longer to arrive over a slow link.
 	syncResponseTimeout = 300 * time.Millisecond
+	// maxCoveredMilliseconds bounds the time without a gap that another VM reports.
+	maxCoveredMilliseconds = uint64(365 * 24 * time.Hour / time.Millisecond)
 )
 
 // errNoResponse cancels a request to a VM that does not begin its response in time.
@@ -100,6 +102,9 @@
 		Revision:        batch.Revision(),
 		Whole:           batch.Full(),
 		AgeMilliseconds: uint32(max(batch.Age().Milliseconds(), 0)),
+
+		CoveredMilliseconds: uint64(max(batch.Coverage().Length().Milliseconds(), 0)),
+		AfterOutage:         batch.Coverage().AfterOutage(),
 	}
 	for _, r := range batch.Records() {
 		area.Records = append(area.Records, &brentrypb.RecordMessage{
@@ -126,7 +131,9 @@
 		records = append(records, record)
 	}
 	age := time.Duration(area.GetAgeMilliseconds()) * time.Millisecond
-	return brrecord.NewBatch(kind, records, area.GetRevision(), area.GetWhole()).WithAge(age), nil
+	covered := time.Duration(min(area.GetCoveredMilliseconds(), maxCoveredMilliseconds)) * time.Millisecond
+	coverage := brrecord.NewCoverage(covered, area.GetAfterOutage())
+	return brrecord.NewBatch(kind, records, area.GetRevision(), area.GetWhole()).WithAge(age).WithCoverage(coverage), nil
 }
 
 func encodeStatus(status brstatus.Status) *brentrypb.StandingMessage {
