Take a refusal on a kept connection for this request's only if its id says so

Callers may be told 'not run, try again' for a request that runs (REFUSED), or it is sent to a second server although it must run once (TWICE): a server writes an earlier refusal once more on a kept connection, without X-Request-Id. belongsTo let an error response without the identifier pass on any connection. On a new one it can only be the response to this request; on a kept one it may be anyone's. A refusal with this request's identifier is as uncertain if the identifier was sent on the connection before.

Connections count their uses and remember the latest identifiers; an uncertain response tells nothing and ends its connection. brbackend.Send, for serve, treats rejections the same way.

--- a/internal/peer/brbackend/client.go
+++ b/internal/peer/brbackend/client.go
@@ -9,7 +9,9 @@
 // other response means this.
 //
 // A server that echoes X-Request-Id shows which request a response belongs to. A response
-// with another identifier, such as a second copy that arrives late, is not used.
+// with another identifier, such as a second copy that arrives late, is not used. A rejection
+// counts only if it can't be a copy of an earlier one: on a new connection, or with the
+// identifier of a request that had not been sent on the connection before.
 //
 // A response body whose end is marked only by the close of its connection is
 // always reported as truncated, because a truncated body looks the same.
@@ -85,17 +87,22 @@
 	if err != nil {
 		return nil, err
 	}
-	if id := response.Header.Get(fieldRequestID); id != "" && id != call.Fields().First(fieldRequestID) {
+	id := response.Header.Get(fieldRequestID)
+	if id != "" && id != call.Fields().First(fieldRequestID) {
 		Abandon(response)
 		return nil, ErrOutcomeUnknown{cause: errors.Errorf("response is one to request %q", id)}
 	}
+	if isShed(response) && !IsOnNewConnection(response) && (id == "" || !IsRefusalCertain(response)) {
+		Abandon(response)
+		return nil, ErrOutcomeUnknown{cause: errors.New("rejection on a kept connection may be one of an earlier request")}
+	}
 	return decodeResponse(response)
 }
 
 // Exchange sends a request once to an address and returns the unprocessed
 // response. The error is ErrNotSent or ErrOutcomeUnknown.
 func (c *Client) Exchange(ctx context.Context, address string, call brmessage.Call) (*http.Response, error) {
-	tracker := &writeTracker{}
+	tracker := &writeTracker{id: call.Fields().First(fieldRequestID)}
 	request, err := newRequest(httptrace.WithClientTrace(ctx, tracker.trace()), address, call)
 	if err != nil {
 		return nil, ErrNotSent{cause: err}
@@ -120,6 +127,29 @@
 	_ = response.Body.Close()
 }
 
+// IsOnNewConnection reports whether a response came on a connection that no other request
+// has used, so that it can't be a late copy of the response to an earlier one.
+func IsOnNewConnection(response *http.Response) bool {
+	use, ok := useOf(response)
+	return ok && use.number == 1
+}
+
+// IsRefusalCertain reports whether a refusal that has the request's identifier, or none on a
+// new connection, can only refuse this request. It may be the late copy of a refusal of an
+// earlier request on the connection that had the same identifier.
+func IsRefusalCertain(response *http.Response) bool {
+	use, ok := useOf(response)
+	return ok && !use.repeated
+}
+
+func useOf(response *http.Response) (connectionUse, bool) {
+	body, ok := response.Body.(*trackedBody)
+	if !ok {
+		return connectionUse{}, false
+	}
+	return body.tracker.lastUse()
+}
+
 // trackedBody is the body of a response with the connections of its request.
 type trackedBody struct {
 	io.ReadCloser
--- a/internal/peer/brbackend/connection.go
+++ b/internal/peer/brbackend/connection.go
@@ -2,11 +2,15 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 
 	"github.com/go-faster/errors"
 )
 
+// maxRecentIDs is the number of latest requests whose identifiers a connection remembers.
+const maxRecentIDs = 16
+
 var errWritesBlocked = errors.New("writes on the connection are blocked")
 
 // connection counts the bytes written to the network and can block further
@@ -17,9 +21,10 @@
 	mutex         sync.Mutex
 	writtenBytes  int64
 	writesBlocked bool
-	uses          int  // requests to which the connection was assigned
-	busy          bool // a request was written and its response is not complete
-	retired       bool // to be closed as soon as it is not busy
+	uses          int      // requests to which the connection was assigned
+	recentIDs     []string // identifiers of the latest requests, oldest first
+	busy          bool     // a request was written and its response is not complete
+	retired       bool     // to be closed as soon as it is not busy
 }
 
 // Write writes data unless writes are blocked. The bytes are counted before they
@@ -60,12 +65,17 @@
 }
 
 // acquire records that the connection is assigned to a request, and returns the number of
-// this use.
-func (c *connection) acquire() int {
+// this use and whether a recent request on it had the same identifier.
+func (c *connection) acquire(id string) (number int, repeated bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.uses++
-	return c.uses
+	repeated = slices.Contains(c.recentIDs, id)
+	if len(c.recentIDs) == maxRecentIDs {
+		c.recentIDs = slices.Delete(c.recentIDs, 0, 1)
+	}
+	c.recentIDs = append(c.recentIDs, id)
+	return c.uses, repeated
 }
 
 // setIdle records that a use has ended and the connection is kept for another request. It
--- a/internal/peer/brbackend/connection_test.go
+++ b/internal/peer/brbackend/connection_test.go
@@ -29,10 +29,10 @@
 // the next request may have taken it already. That request must not be cut off.
 func TestRetireSparesConnectionThatIsInUseAgain(t *testing.T) {
 	c, conn := newConnection()
-	first := c.acquire()
+	first, _ := c.acquire("1")
 	_, err := c.Write([]byte("first"))
 	require.NoError(t, err)
-	second := c.acquire()
+	second, _ := c.acquire("2")
 	_, err = c.Write([]byte("second"))
 	require.NoError(t, err)
 	c.setIdle(first)
@@ -45,8 +45,9 @@
 // A request that takes a connection which is closed at that moment is known not to be sent.
 func TestRetireBlocksWritesOnIdleConnection(t *testing.T) {
 	c, conn := newConnection()
-	c.setIdle(c.acquire())
-	c.acquire()
+	first, _ := c.acquire("1")
+	c.setIdle(first)
+	c.acquire("2")
 	c.retire()
 	require.Positive(t, conn.closed)
 	_, err := c.Write([]byte("next"))
--- a/internal/peer/brbackend/tracker.go
+++ b/internal/peer/brbackend/tracker.go
@@ -7,6 +7,7 @@
 
 // writeTracker records the connections on which a request may have been written.
 type writeTracker struct {
+	id        string // of the request, may be empty
 	mutex     sync.Mutex
 	uses      []connectionUse
 	untracked bool
@@ -16,7 +17,8 @@
 // number of bytes written on it until then.
 type connectionUse struct {
 	connection    *connection
-	number        int // of the connection's use
+	number        int  // of the connection's use
+	repeated      bool // an earlier request on the connection had the same identifier
 	writtenBefore int64
 }
 
@@ -32,7 +34,8 @@
 		t.untracked = true
 		return
 	}
-	t.uses = append(t.uses, connectionUse{connection: conn, number: conn.acquire(), writtenBefore: conn.written()})
+	number, repeated := conn.acquire(t.id)
+	t.uses = append(t.uses, connectionUse{connection: conn, number: number, repeated: repeated, writtenBefore: conn.written()})
 }
 
 // putIdleConnection is called when the response is complete and the transport keeps the
