Take no response head that contains the head of another one

A server breaks off within a field of an earlier refusal, written once more on a kept connection, and goes on with the response to the request that ran: read as one head, it says 'not run' with that request's identifier (REFUSED). The status line then stands within a value; such a head now tells nothing.

Before: TestRefusalCutIntoNextResponseIsNoRefusal 'server shed the request'.

--- a/internal/peer/brbackend/client.go
+++ b/internal/peer/brbackend/client.go
@@ -32,6 +32,8 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -115,9 +117,25 @@
 		return nil, ErrOutcomeUnknown{cause: err}
 	}
 	response.Body = &trackedBody{ReadCloser: response.Body, tracker: tracker}
+	if isSpliced(response.Header) {
+		Abandon(response)
+		return nil, ErrOutcomeUnknown{cause: errors.New("response header contains the head of another response")}
+	}
 	return response, nil
 }
 
+// isSpliced reports whether a header consists of a truncated one and the head of the next
+// response on the connection: the status line then stands within a value.
+func isSpliced(header http.Header) bool {
+	for name, values := range header {
+		contains := func(value string) bool { return strings.Contains(value, "HTTP/1.") }
+		if name != "Via" && slices.ContainsFunc(values, contains) {
+			return true
+		}
+	}
+	return false
+}
+
 // Abandon closes the connection of a response that belongs to another request, so that the
 // response to the request itself, which may still arrive, is not taken for a later one's.
 func Abandon(response *http.Response) {
