Keep the margin of a stop to a part of the grace period

A VM that stops cuts what still runs 0.7 s before the end of its grace period. For one under 4.2 s that is before its last sixth, so that requests which were accepted at the start of the stop are cut off while their servers are at work (LOST); for one under 2.2 s it is before the VM has stopped to accept connections. Both times are now bounded by a part of the grace period. The deployments in force have 6 and 10 s, where nothing changes.

--- a/internal/service/brentryvm/stop.go
+++ b/internal/service/brentryvm/stop.go
@@ -17,6 +17,10 @@
 	// exitMargin is the part of the grace period that is kept for the process to
 	// exit by itself.
 	exitMargin = 700 * time.Millisecond
+	// maxDrainFraction and maxExitFraction limit both to a part of the grace period. Requests
+	// may run into its last sixth.
+	maxDrainFraction = 4
+	maxExitFraction  = 8
 	// flushTimeout bounds the time in which the last log lines are written. It is a part
 	// of exitMargin.
 	flushTimeout = 300 * time.Millisecond
@@ -25,8 +29,8 @@
 )
 
 // stop shuts the VM down gracefully: it removes the VM from look-ups, waits for
-// running requests and closes the servers. It takes at most the grace period, less
-// exitMargin, and ends early only if ctx does.
+// running requests and closes the servers. It ends when the grace period does, less a
+// margin for the exit, and early only if ctx does.
 func (v *VM) stop(ctx context.Context) {
 	v.leaving.Store(true)
 	v.aggregator.Leave()
@@ -34,8 +38,9 @@
 	v.journal.Lifecycle("VM stops")
 	start := v.clock.Now()
 	v.deregister(ctx)
-	v.sleep(ctx, drainTime-v.clock.Now().Sub(start))
-	ctx, cancel := context.WithTimeout(ctx, v.Bounds().Grace()-exitMargin-v.clock.Now().Sub(start))
+	drain, end := stopTimes(v.Bounds().Grace())
+	v.sleep(ctx, drain-v.clock.Now().Sub(start))
+	ctx, cancel := context.WithTimeout(ctx, end-v.clock.Now().Sub(start))
 	defer cancel()
 	group := sync.WaitGroup{}
 	failures := make(chan error, len(v.servers))
@@ -53,6 +58,14 @@
 	v.journal.Lifecycle("VM stopped", "fronts_cut", aborted)
 }
 
+// stopTimes returns, since the start of a stop, the time until which a VM accepts
+// connections and the time until which it waits for running requests.
+func stopTimes(grace time.Duration) (drain, end time.Duration) {
+	drain = min(drainTime, grace/maxDrainFraction)
+	end = grace - min(exitMargin, grace/maxExitFraction)
+	return drain, end
+}
+
 func (v *VM) deregister(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, deregisterTimeout)
 	defer cancel()
