Stand-in servers that break the protocol, drawn by the soak

No stand-in wrote a refusal once more, cut a head, added bytes, left out identifiers, answered with garbage or reset idle connections, so neither the soak nor its checks of REFUSED, TWICE and MIXED could see their harm. Eight faults of servers are drawn beside the others, three kinds in each run, by a stream of their own: the faults of older seeds stay as they are.

--- a/tests/soak/fault_test.go
+++ b/tests/soak/fault_test.go
@@ -114,6 +114,31 @@
 	{name: "new version is rolled out", begin: rollOut},
 }
 
+// rawFaults are faults of servers that break the protocol. They are drawn beside the others,
+// so that the faults of older seeds stay the same.
+var rawFaults = []fault{
+	{name: "server writes earlier refusals once more", begin: serverFault(brstandin.FaultCopyRefusal)},
+	{name: "server stops within the head of responses", begin: serverFault(brstandin.FaultCutHead)},
+	{name: "server writes bytes after responses", begin: serverFault(brstandin.FaultExtraBytes)},
+	{name: "server writes responses once more, late", begin: serverFault(brstandin.FaultLateCopy)},
+	{name: "server leaves out identifiers", begin: serverFault(brstandin.FaultNoID)},
+	{name: "server answers with bytes that are no response", begin: serverFault(brstandin.FaultGarbage)},
+	{name: "server sends bodies without a length", begin: serverFault(brstandin.FaultUnframed)},
+	{name: "server resets idle connections", begin: serverFault(brstandin.FaultIdleReset)},
+}
+
+// rawFaultsPerRun is the number of kinds of rawFaults in a run.
+const rawFaultsPerRun = 3
+
+// drawRawKinds draws the kinds of rawFaults of a run.
+func drawRawKinds(random *rand.Rand) []fault {
+	kinds := []fault{}
+	for _, i := range random.Perm(len(rawFaults))[:rawFaultsPerRun] {
+		kinds = append(kinds, rawFaults[i])
+	}
+	return kinds
+}
+
 func killVM(d *deployment, pick int, until time.Time) func() {
 	v := d.pickVM(pick)
 	d.disturbances.add(v.spec.Name(), time.Now(), until.Add(time.Second))
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -45,11 +45,16 @@
 	// failOnKnown makes known failures listed in KNOWN-RED.txt fail the test too.
 	failOnKnown = flag.Bool("soak.knownred", false, "fail on the known failures listed in KNOWN-RED.txt too")
 	faultRate   = flag.Float64("soak.faults", 3, "faults per second")
+	// rawFaultRate is added to faultRate.
+	rawFaultRate = flag.Float64("soak.rawfaults", 1, "faults per second of servers that break the protocol")
 )
 
 // faultKindsStream is the PCG stream from which the kinds of faults of a seed are drawn.
 const faultKindsStream = 1 << 40
 
+// rawFaultsStream is the PCG stream from which the rawFaults of a seed are drawn.
+const rawFaultsStream = 1 << 41
+
 // program is the path of the bergamotroad binary under test.
 var program string
 
@@ -123,7 +128,11 @@
 	callers := d.startCallers(ctx, seed)
 	d.awaitService(t, callers)
 	kinds := faultKindsOf(seed)
-	d.runSteps(drawSteps(random, kinds, *faultDuration, int(faultDuration.Seconds()**faultRate)))
+	steps := drawSteps(random, kinds, *faultDuration, int(faultDuration.Seconds()**faultRate))
+	rawRandom := rand.New(rand.NewPCG(seed, rawFaultsStream))
+	rawKinds := drawRawKinds(rawRandom)
+	steps = append(steps, drawSteps(rawRandom, rawKinds, *faultDuration, int(faultDuration.Seconds()**rawFaultRate))...)
+	d.runSteps(steps)
 	d.endFaults()
 	d.checkRecovery(t, callers)
 	cancel()
@@ -132,7 +141,7 @@
 	d.checker.checkBudget()
 	d.writeSteps()
 	d.passOverKnown(t, seed)
-	d.report(t, seed, kinds)
+	d.report(t, seed, append(kinds, rawKinds...))
 }
 
 // faultKindsOf returns the kinds of faults of a seed.
