Begin the grace after an outage when the store has answered

A read that began within an outage waits for its end, if calls hang. The grace of 2.5 s began with that read, up to 1.5 s before the store was back, so that servers whose entries had lapsed were dropped before they could register again. It begins when the answer has arrived, as it did before outages were told by failed reads.

--- a/internal/decide/brreplica/outage.go
+++ b/internal/decide/brreplica/outage.go
@@ -87,7 +87,8 @@
 		gap = Gap{length: since.Sub(a.asOf), outage: r.isOutage(now, batch, since)}
 		a.since, a.afterOutage = since, gap.outage
 		if gap.outage {
-			r.graceEnd = since.Add(reregistrationGrace)
+			a.since = knownFrom(now, batch, since)
+			r.graceEnd = a.since.Add(reregistrationGrace)
 		}
 	case a.since.Sub(since) > maxGap && asOf.After(a.since):
 		// The sender knows that the store was available before this VM's coverage began.
@@ -107,12 +108,17 @@
 	if batch.Coverage().AfterOutage() {
 		return true
 	}
-	end := since
+	isolated := len(r.vms) > 1 && r.peerAt.Before(r.failures.start)
+	return !isolated && r.failures.showOutage(knownFrom(now, batch, since))
+}
+
+// knownFrom returns the time from which the store is known to be available by a batch whose
+// coverage began at since. A read may have waited for the end of an outage.
+func knownFrom(now time.Time, batch brrecord.Batch, since time.Time) time.Time {
 	if batch.Coverage().Length() == 0 {
-		end = now // the store answered the read only now
+		return now
 	}
-	isolated := len(r.vms) > 1 && r.peerAt.Before(r.failures.start)
-	return !isolated && r.failures.showOutage(end)
+	return since
 }
 
 // cancelGrace ends the grace period and drops the servers that were retained in it.
--- a/internal/decide/brreplica/replica.go
+++ b/internal/decide/brreplica/replica.go
@@ -80,7 +80,7 @@
 	if a.since.IsZero() {
 		return brrecord.Coverage{}
 	}
-	return brrecord.NewCoverage(a.asOf.Sub(a.since), a.afterOutage)
+	return brrecord.NewCoverage(max(a.asOf.Sub(a.since), 0), a.afterOutage)
 }
 
 // New returns an empty replica.
