--- a/internal/peer/brentry/sync_test.go
+++ b/internal/peer/brentry/sync_test.go
@@ -40,3 +40,16 @@
 	require.NoError(t, err)
 	require.Equal(t, notices, exchanged.Poison())
 }
+
+// What a VM knows of the time before its records decides on other VMs whether the store was
+// unavailable.
+func TestSyncCarriesCoverage(t *testing.T) {
+	for _, coverage := range []brrecord.Coverage{{}, brrecord.NewCoverage(0, true), brrecord.NewCoverage(30*24*time.Hour, false)} {
+		batch := brrecord.NewBatch(brrecord.AreaServers, []brrecord.Record{}, 7, false).WithCoverage(coverage)
+		syncer := &fakeSyncer{update: brsync.NewUpdate([]brrecord.Batch{batch}, brstatus.New(nil, nil, nil), time.Second)}
+		client, address, _ := startSyncer(t, syncer)
+		update, err := client.Sync(t.Context(), address, "vm-1", "north", brrecord.Revisions{}, 0, brstatus.New(nil, nil, nil))
+		require.NoError(t, err)
+		require.Equal(t, []brrecord.Batch{batch}, update.Batches())
+	}
+}
