--- a/tests/soak/fault_test.go
+++ b/tests/soak/fault_test.go
@@ -31,13 +31,13 @@
 // VMs stay undisturbed: bounds on time are only checked at these.
 const faultKindsPerRun = 8
 
-// drawKinds draws the kinds of faults of a run. Those that affect the store or all
-// VMs are included only if includeGlobal is set.
-func drawKinds(random *rand.Rand, includeGlobal bool) []fault {
+// drawKinds draws the kinds of faults of a run from a list. Those that affect the store or
+// all VMs are included only if includeGlobal is set.
+func drawKinds(random *rand.Rand, list []fault, count int, includeGlobal bool) []fault {
 	kinds := []fault{}
-	for _, i := range random.Perm(len(faults)) {
-		if len(kinds) < faultKindsPerRun && (includeGlobal || !faults[i].global) {
-			kinds = append(kinds, faults[i])
+	for _, i := range random.Perm(len(list)) {
+		if len(kinds) < count && (includeGlobal || !list[i].global) {
+			kinds = append(kinds, list[i])
 		}
 	}
 	return kinds
@@ -130,15 +130,6 @@
 // rawFaultsPerRun is the number of kinds of rawFaults in a run.
 const rawFaultsPerRun = 3
 
-// drawRawKinds draws the kinds of rawFaults of a run.
-func drawRawKinds(random *rand.Rand) []fault {
-	kinds := []fault{}
-	for _, i := range random.Perm(len(rawFaults))[:rawFaultsPerRun] {
-		kinds = append(kinds, rawFaults[i])
-	}
-	return kinds
-}
-
 func killVM(d *deployment, pick int, until time.Time) func() {
 	v := d.pickVM(pick)
 	d.disturbances.add(v.spec.Name(), time.Now(), until.Add(time.Second))
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -130,7 +130,7 @@
 	kinds := faultKindsOf(seed)
 	steps := drawSteps(random, kinds, *faultDuration, int(faultDuration.Seconds()**faultRate))
 	rawRandom := rand.New(rand.NewPCG(seed, rawFaultsStream))
-	rawKinds := drawRawKinds(rawRandom)
+	rawKinds := drawKinds(rawRandom, rawFaults, rawFaultsPerRun, true)
 	steps = append(steps, drawSteps(rawRandom, rawKinds, *faultDuration, int(faultDuration.Seconds()**rawFaultRate))...)
 	d.runSteps(steps)
 	d.endFaults()
@@ -146,7 +146,7 @@
 
 // faultKindsOf returns the kinds of faults of a seed.
 func faultKindsOf(seed uint64) []fault {
-	return drawKinds(rand.New(rand.NewPCG(seed, faultKindsStream)), seed%2 == 0)
+	return drawKinds(rand.New(rand.NewPCG(seed, faultKindsStream)), faults, faultKindsPerRun, seed%2 == 0)
 }
 
 // callerGroup is the running callers and the number of their served requests.
