--- a/internal/decide/brreplica/fleet_test.go
+++ b/internal/decide/brreplica/fleet_test.go
@@ -35,16 +35,17 @@
 // simulation simulates VMs that read the store, or follow VMs that do, while the store fails,
 // VMs fail and servers leave.
 type simulation struct {
-	now       time.Time
-	vms       []*simVM
-	list      []brfleet.VM
-	revision  uint64
-	entries   map[string]string
-	removed   map[string]time.Time // when a server left, while the store was available
-	downFrom  time.Time
-	downUntil time.Time
-	hangs     bool // calls in the outage time out rather than fail at once
-	lapses    map[string]time.Duration
+	now           time.Time
+	vms           []*simVM
+	list          []brfleet.VM
+	registrations brrecord.Batch
+	revision      uint64
+	entries       map[string]string
+	removed       map[string]time.Time // when a server left, while the store was available
+	downFrom      time.Time
+	downUntil     time.Time
+	hangs         bool // calls in the outage time out rather than fail at once
+	lapses        map[string]time.Duration
 }
 
 // simVM is a VM of the simulation.
@@ -65,6 +66,7 @@
 	frozenUntil time.Time
 	cutUntil    time.Time // cut off from the store
 	aloneUntil  time.Time // cut off from the other VMs
+	muteUntil   time.Time // its answers to other VMs are lost
 	disturbed   time.Time // end of its last disturbance
 }
 
@@ -80,14 +82,21 @@
 		s.list = append(s.list, brfleet.NewVM(name, "", "").WithLocation(region, region))
 		records = append(records, brrecord.New(brrecord.AreaVMs, name, 1, nil))
 	}
+	s.registrations = brrecord.NewBatch(brrecord.AreaVMs, records, 1, true)
 	for _, vm := range s.list {
-		v := &simVM{self: vm, chooser: brsource.New(vm), replica: brreplica.New(textDecoder{}), disturbed: start}
-		v.replica.Apply(start, brrecord.NewBatch(brrecord.AreaVMs, records, 1, true), start)
+		v := &simVM{self: vm, disturbed: start}
+		s.startVM(v)
 		s.vms = append(s.vms, v)
 	}
 	return s
 }
 
+// startVM gives a VM the state of a new process.
+func (s *simulation) startVM(v *simVM) {
+	*v = simVM{self: v.self, chooser: brsource.New(v.self), replica: brreplica.New(textDecoder{}), offUntil: v.offUntil, disturbed: v.disturbed}
+	v.replica.Apply(s.now, s.registrations, s.now)
+}
+
 func (s *simulation) storeDown() bool { return s.now.Before(s.downUntil) && !s.now.Before(s.downFrom) }
 
 func (v *simVM) stopped(now time.Time) bool {
@@ -158,7 +167,7 @@
 		return
 	}
 	waited := s.now.Sub(v.syncAt)
-	answers := !v.peer.stopped(s.now) && !s.now.Before(v.peer.aloneUntil) && !s.now.Before(v.aloneUntil)
+	answers := !v.peer.stopped(s.now) && !s.now.Before(v.peer.aloneUntil) && !s.now.Before(v.aloneUntil) && !s.now.Before(v.peer.muteUntil)
 	news := v.peer.replica.Revisions()[brrecord.AreaServers] > v.replica.Revisions()[brrecord.AreaServers]
 	switch {
 	case answers && (waited >= v.syncHold || news):
@@ -218,7 +227,7 @@
 func (s *simulation) disturb(t *rapid.T) time.Duration {
 	length := time.Duration(rapid.IntRange(2, 9).Draw(t, "seconds")) * time.Second
 	end := s.now.Add(length)
-	kind := rapid.SampledFrom([]string{"outage", "power", "freeze", "store cut", "cut off", "none"}).Draw(t, "fault")
+	kind := rapid.SampledFrom([]string{"outage", "power", "restart", "freeze", "store cut", "cut off", "mute", "none"}).Draw(t, "fault")
 	if kind == "outage" {
 		s.downFrom, s.downUntil, s.hangs = s.now, end, rapid.Bool().Draw(t, "hangs")
 		for _, id := range slices.Sorted(maps.Keys(s.entries)) {
@@ -234,6 +243,12 @@
 		switch kind {
 		case "power":
 			v.offUntil = end
+			s.startVM(v)
+		case "restart":
+			v.offUntil = s.now.Add(simStep * 10)
+			s.startVM(v)
+		case "mute":
+			v.muteUntil = end
 		case "freeze":
 			v.frozenUntil = end
 		case "store cut":
