--- a/internal/service/brentryvm/stop.go
+++ b/internal/service/brentryvm/stop.go
@@ -17,10 +17,10 @@
 	// exitMargin is the part of the grace period that is kept for the process to
 	// exit by itself.
 	exitMargin = 700 * time.Millisecond
-	// maxDrainFraction and maxExitFraction limit both to a part of the grace period. Requests
-	// may run into its last sixth.
-	maxDrainFraction = 4
-	maxExitFraction  = 8
+	// drainDivisor and exitDivisor divide the grace period into the most that both may take.
+	// Requests may run into its last sixth.
+	drainDivisor = 4
+	exitDivisor  = 8
 	// flushTimeout bounds the time in which the last log lines are written. It is a part
 	// of exitMargin.
 	flushTimeout = 300 * time.Millisecond
@@ -61,8 +61,8 @@
 // stopTimes returns, since the start of a stop, the time until which a VM accepts
 // connections and the time until which it waits for running requests.
 func stopTimes(grace time.Duration) (drain, end time.Duration) {
-	drain = min(drainTime, grace/maxDrainFraction)
-	end = grace - min(exitMargin, grace/maxExitFraction)
+	drain = min(drainTime, grace/drainDivisor)
+	end = grace - min(exitMargin, grace/exitDivisor)
 	return drain, end
 }
 
