--- a/internal/core/brring/reply.go
+++ b/internal/core/brring/reply.go
@@ -21,14 +21,14 @@
 // Reply.
 func (r Reply[T]) IsExpected() bool { return r.ring != nil }
 
-// Answer sends the answer to the sender. A second answer is dropped.
-func (r Reply[T]) Answer(answer T) {
-	_ = r.ring.Send(answer)
-}
+// Answer sends the answer to the sender and reports whether the sender receives it. It
+// returns false if the sender no longer waits, or has an answer already. A duty that
+// gives something away with its answer takes it back then.
+func (r Reply[T]) Answer(answer T) bool { return r.ring.Send(answer) == nil }
 
-// Withdraw withdraws an answer that the sender has not received yet, and reports
-// whether there was one.
-func (r Reply[T]) Withdraw() (T, bool) { return r.ring.TryReceive() }
+// IsAbandoned reports whether the sender no longer waits. It may stop to wait at any
+// time, so only the result of Answer says whether it received an answer.
+func (r Reply[T]) IsAbandoned() bool { return r.ring.Closed() }
 
 // Equal reports whether both replies belong to the same message.
 func (r Reply[T]) Equal(other Reply[T]) bool { return r.ring == other.ring }
@@ -46,9 +46,9 @@
 // Ask sends a message to a ring and waits for the answer. The build function
 // creates the message with the given Reply in it.
 //
-// If the context is done before the answer arrives, the reply ring is not
-// returned to the pool. Otherwise a late answer could be delivered to an
-// unrelated request that reuses the ring.
+// If the context is done first, Ask closes the reply, so that a later Answer returns
+// false. An answer that was sent before is returned all the same: what the duty gave
+// away with it belongs to the caller. A closed reply ring is not returned to the pool.
 func Ask[M, A any](ctx context.Context, ring *Queue[M], pool *ReplyPool[A], build func(Reply[A]) M) (A, error) {
 	replies, _ := pool.pool.Get().(*Queue[A])
 	var zero A
@@ -58,6 +58,10 @@
 	}
 	answer, err := replies.Receive(ctx)
 	if err != nil {
+		replies.Close()
+		if sent, ok := replies.TryReceive(); ok {
+			return sent, nil
+		}
 		return zero, err
 	}
 	pool.pool.Put(replies)
--- a/internal/core/brring/ring_test.go
+++ b/internal/core/brring/ring_test.go
@@ -92,7 +92,8 @@
 	require.ErrorIs(t, err, context.Canceled)
 	late, ok := ring.TryReceive()
 	require.True(t, ok)
-	late.Answer(1)
+	require.True(t, late.IsAbandoned())
+	require.False(t, late.Answer(1))
 	go func() {
 		reply, _ := ring.Receive(t.Context())
 		reply.Answer(2)
@@ -102,6 +103,26 @@
 	require.Equal(t, 2, answer)
 }
 
+// An answer and the end of the sender's context coincide. Either the sender receives the
+// answer, or the duty learns that it does not; otherwise nobody would release what the
+// answer gives away.
+func TestAnswerIsReceivedOrRefused(t *testing.T) {
+	pool := brring.NewReplyPool[int]()
+	for range 2000 {
+		ring := brring.NewQueue[brring.Reply[int]](1)
+		ctx, cancel := context.WithCancel(t.Context())
+		delivered := make(chan bool, 1)
+		go func() {
+			reply, _ := ring.Receive(t.Context())
+			go cancel()
+			delivered <- reply.Answer(1)
+		}()
+		answer, err := brring.Ask(ctx, ring, pool, func(reply brring.Reply[int]) brring.Reply[int] { return reply })
+		require.Equal(t, <-delivered, err == nil)
+		require.Equal(t, err == nil, answer == 1)
+	}
+}
+
 func BenchmarkHandOver(b *testing.B) {
 	b.Run("ring", func(b *testing.B) {
 		ring := brring.NewQueue[int](1024)
--- a/internal/duty/brbalancer/duty.go
+++ b/internal/duty/brbalancer/duty.go
@@ -142,7 +142,7 @@
 		return
 	}
 	if m.cancelled {
-		h.cancel(m.reply, now)
+		h.cancel(m.reply)
 		return
 	}
 	h.place(m, now)
--- a/internal/duty/brbalancer/queue.go
+++ b/internal/duty/brbalancer/queue.go
@@ -53,7 +53,7 @@
 	if !ok || waiting.empty() {
 		server := h.balancer.Pick(now, m.placement)
 		if server.IsPresent() || m.placement.MaxWait() <= 0 {
-			m.reply.Answer(server)
+			h.answer(m.reply, server, now)
 			return
 		}
 	}
@@ -110,11 +110,20 @@
 		if !server.IsPresent() {
 			return
 		}
-		w.reply.Answer(server)
+		h.answer(w.reply, server, now)
 		waiting.head = broption.None[waiter]()
 	}
 }
 
+// answer sends the selected server to the caller. If the caller no longer waits, it frees
+// the slot.
+func (h *handler) answer(to reply, server broption.Option[brconfig.Server], now time.Time) {
+	s, assigned := server.Get()
+	if !to.Answer(server) && assigned {
+		h.balancer.Release(now, brrequest.NewOutcome(s.Name(), brrequest.OutcomeCancelled, 0))
+	}
+}
+
 // Tick refuses placements that have timed out, assigns free slots to the others and
 // publishes the proposed records of moves.
 func (h *handler) Tick(_ context.Context, now time.Time) {
@@ -139,16 +148,9 @@
 	return expiryPeriod, len(h.waiting) > 0
 }
 
-// cancel removes a placement from its queue, or frees the slot if one was already
-// assigned.
-func (h *handler) cancel(cancelled reply, now time.Time) {
-	if server, ok := cancelled.Withdraw(); ok {
-		if s, assigned := server.Get(); assigned {
-			h.balancer.Release(now, brrequest.NewOutcome(s.Name(), brrequest.OutcomeCancelled, 0))
-			h.assignAll(now)
-		}
-		return
-	}
+// cancel removes a placement from its queue. If the message that cancels it was rejected,
+// answer frees the slot later.
+func (h *handler) cancel(cancelled reply) {
 	for _, waiting := range h.waiting {
 		waiting.remove(cancelled)
 	}
--- a/internal/duty/brbalancer/queue_test.go
+++ b/internal/duty/brbalancer/queue_test.go
@@ -20,11 +20,19 @@
 // runScenario starts load balancing on the only VM of a failure domain that has one
 // server with one slot.
 func runScenario(t *testing.T, scenario func(t *testing.T, balancer *brbalancer.Balancer)) {
+	runStoppedScenario(t, func(t *testing.T, balancer *brbalancer.Balancer, group *brduty.Group) {
+		group.Start(balancer.Duty())
+		synctest.Wait()
+		scenario(t, balancer)
+	})
+}
+
+// runStoppedScenario leaves the start of the duty to the scenario.
+func runStoppedScenario(t *testing.T, scenario func(t *testing.T, balancer *brbalancer.Balancer, group *brduty.Group)) {
 	synctest.Test(t, func(t *testing.T) {
 		clock := brclock.NewSystem()
 		balancer := brbalancer.New("vm-1", "este-a", clock)
 		group := brduty.NewGroup(t.Context(), clock, brobserver.Nop{})
-		group.Start(balancer.Duty())
 		defer group.Stop()
 		meta := brconfig.NewMeta
 		snapshot, err := brconfig.NewSnapshot().Apply(1, []brconfig.Change{
@@ -37,8 +45,7 @@
 		})
 		require.NoError(t, err)
 		require.NoError(t, balancer.Snapshots().Send(snapshot))
-		synctest.Wait()
-		scenario(t, balancer)
+		scenario(t, balancer, group)
 	})
 }
 
@@ -139,3 +146,27 @@
 		require.NoError(t, err)
 	})
 }
+
+// A caller cancels while the duty's ring is full, so that the message that says so is
+// rejected. The slot that it is assigned later must be freed all the same.
+func TestSlotOfCallerThatCancelsWhileRingIsFullIsFreed(t *testing.T) {
+	runStoppedScenario(t, func(t *testing.T, balancer *brbalancer.Balancer, group *brduty.Group) {
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() {
+			_, err := balancer.Pick(ctx, placementOf("leaver"))
+			done <- err
+		}()
+		synctest.Wait()
+		const messages = 20000 // more than the ring holds with its reserve
+		for range messages {
+			balancer.Release(brrequest.NewOutcome("unknown", brrequest.OutcomeAnswered, time.Millisecond))
+		}
+		cancel()
+		require.ErrorIs(t, <-done, context.Canceled)
+		group.Start(balancer.Duty())
+		synctest.Wait()
+		_, err := balancer.Pick(t.Context(), brrequest.NewPlacement("ledger", "last"))
+		require.NoError(t, err)
+	})
+}
