--- a/internal/decide/brplacement/placer.go
+++ b/internal/decide/brplacement/placer.go
@@ -58,6 +58,7 @@
 	region    string
 	view      *brfleet.View
 	servers   map[string]*server
+	departed  map[serverRun]departed
 	services  map[string]*service
 	exposures map[string]Exposure
 	crashes   []Crash
@@ -80,6 +81,7 @@
 		region:    region,
 		view:      &brfleet.View{},
 		servers:   map[string]*server{},
+		departed:  map[serverRun]departed{},
 		services:  map[string]*service{},
 		exposures: map[string]Exposure{},
 		backoff:   brbackoff.New(vm),
@@ -108,6 +110,7 @@
 		}
 	}
 	p.recordUnregistered(now, registered)
+	p.keepRunning(registered)
 	p.servers = registered
 }
 
@@ -325,6 +328,7 @@
 // RecordOutcome records how a request to a server ended, and returns whether the server
 // said for the first time that it wants no requests.
 func (p *Placer) RecordOutcome(now time.Time, outcome Outcome) brbackoff.Change {
+	p.endRequest(outcome.server)
 	change := p.backoff.Record(now, outcome.server, outcome.report)
 	if outcome.kind == brrequest.OutcomeAnswered {
 		p.backoff.RecordAnswer(now, outcome.server)
--- a/internal/decide/brplacement/server.go
+++ b/internal/decide/brplacement/server.go
@@ -82,9 +82,8 @@
 	s.pause(now, duration)
 }
 
-// recordOutcome records how a request of this VM ended.
+// recordOutcome records what the end of a request of this VM says about the server.
 func (s *server) recordOutcome(now time.Time, o Outcome) {
-	s.running = max(s.running-1, 0)
 	if load, ok := o.report.Load().Get(); ok {
 		s.peerLoad.observe(now, math.Max(float64(load.Running()+load.Waiting()-s.running), 0))
 	}
