--- a/internal/decide/brplacement/outcome.go
+++ b/internal/decide/brplacement/outcome.go
@@ -24,6 +24,12 @@
 	return Outcome{server: server, kind: kind, latency: latency}
 }
 
+// WithServer returns the outcome of a request to another server.
+func (o Outcome) WithServer(server brfleet.Server) Outcome {
+	o.server = server
+	return o
+}
+
 // WithReport returns the outcome with what the server said about itself.
 func (o Outcome) WithReport(report brfleet.ServerReport) Outcome {
 	o.report = report
--- a/internal/duty/brassignment/assigner.go
+++ b/internal/duty/brassignment/assigner.go
@@ -8,12 +8,18 @@
 //	assigner := brassignment.New(clock, self, aggregator, detector, journal)
 //	replicator.Subscribe(assigner.Views())
 //	group.Start(assigner.Duty())
-//	assignment, err := assigner.Place(ctx, query, 50*time.Millisecond)
-//	assigner.ReportOutcome(outcome, result)
+//	assignment, err := assigner.Place(ctx, query, 50*time.Millisecond, func(choice brplacement.Choice) (brplacement.Outcome, brassignment.VersionResult) {
+//		// send the request to choice.Server()
+//		return outcome, result
+//	})
+//
+// A server's slot is taken when the request is assigned to it, and released when the
+// function returns or panics, or if the caller's context ends first.
 package brassignment
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -23,16 +29,22 @@
 	"bergamotroad.example/bergamotroad/internal/core/brduty"
 	"bergamotroad.example/bergamotroad/internal/core/brring"
 	"bergamotroad.example/bergamotroad/internal/decide/brplacement"
-	"bergamotroad.example/bergamotroad/internal/decide/brretry"
 	"bergamotroad.example/bergamotroad/internal/duty/braggregator"
 	"bergamotroad.example/bergamotroad/internal/model/brfleet"
 	"bergamotroad.example/bergamotroad/internal/model/brrequest"
-	"bergamotroad.example/bergamotroad/internal/model/brstatus"
 )
 
 const (
 	queueCapacity = 2048 // messages
-	queueReserve  = 2048 // messages that report the end of a request
+	// maxOpen bounds the requests that ask for a server or have one. Each of them sends at
+	// most one message that releases its slot, and the queue's reserve has room for all of
+	// these: a slot whose release was rejected would stay occupied. A VM has at most 8,192
+	// file descriptors, and each caller uses one.
+	maxOpen = 8192
+	// exposuresReserve is the part of the reserve for messages that set exposures, which are
+	// sent at most once per evaluation of the rollouts.
+	exposuresReserve = 64
+	queueReserve     = maxOpen + exposuresReserve
 	// rescanInterval is the interval between scans of the queue. Scans are needed because the
 	// estimated load of a server may fall without a message to the duty.
 	rescanInterval = 15 * time.Millisecond
@@ -53,11 +65,20 @@
 	query     brplacement.Query
 	maxWait   time.Duration
 	reply     brring.Reply[Assignment]
-	outcome   brplacement.Outcome
-	result    VersionResult
+	ending    *ending // a pointer, which keeps the ring's messages small
 	exposures map[string]brplacement.Exposure
 }
 
+// ending is how an attempt at a server ended.
+type ending struct {
+	outcome brplacement.Outcome
+	result  VersionResult
+}
+
+// Attempt sends a request to the chosen server, and returns how that ended and how it counts
+// for the server's version.
+type Attempt func(choice brplacement.Choice) (brplacement.Outcome, VersionResult)
+
 // PoisonDetector detects requests that crash servers.
 type PoisonDetector interface {
 	// ReportCrash reports that a server crashed while it ran a request.
@@ -120,25 +141,21 @@
 	duty    *brduty.Duty[message, *brfleet.View]
 	answers *brring.ReplyPool[Assignment]
 	notices *prometheus.CounterVec
+	open    *atomic.Int64 // requests that ask for a server or have one
 }
 
 // New returns the duty of a VM.
 func New(clock brclock.Clock, self brfleet.VM, aggregator *braggregator.Aggregator, detector PoisonDetector, journal Journal) *Assigner {
-	notices := prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "bergamotroad_server_notices_total",
-		Help: "Responses by which a server said that it shuts down (leaving), or for how long it wants no requests (quiet).",
-	}, []string{"notice"})
-	h := &handler{
-		clock: clock, placer: brplacement.New(self.Name(), self.Region()), retryBudget: brretry.NewBudget(),
-		aggregator: aggregator, detector: detector,
-		view: &brfleet.View{}, tallies: map[uint64]brstatus.Tally{},
-		journal: journal, notices: notices,
-	}
+	return newAssigner(clock, newHandler(clock, self, aggregator, detector, journal))
+}
+
+func newAssigner(clock brclock.Clock, h *handler) *Assigner {
 	return &Assigner{
 		duty: brduty.New[message, *brfleet.View]("placing", h, clock,
 			brduty.WithCapacity(queueCapacity), brduty.WithReserve(queueReserve), brduty.WithPeriod(idlePeriod)),
 		answers: brring.NewReplyPool[Assignment](),
-		notices: notices,
+		notices: h.notices,
+		open:    &h.open,
 	}
 }
 
@@ -151,33 +168,53 @@
 // Views returns the ring that receives views of the fleet.
 func (a *Assigner) Views() *brring.Latest[*brfleet.View] { return a.duty.Snapshots() }
 
-// Place assigns a request to a server. If none has room, the request is queued for at
-// most the given time.
-func (a *Assigner) Place(ctx context.Context, query brplacement.Query, maxWait time.Duration) (Assignment, error) {
-	return a.ask(ctx, message{kind: kindPlace, query: query, maxWait: maxWait})
+// Place assigns a request to a server and calls attempt with it. If no server has room, the
+// request is queued for at most the given time. Without a server, or if the context ends
+// first, attempt is not called.
+func (a *Assigner) Place(ctx context.Context, query brplacement.Query, maxWait time.Duration, attempt Attempt) (Assignment, error) {
+	return a.assign(ctx, message{kind: kindPlace, query: query, maxWait: maxWait}, attempt)
 }
 
-// Retry assigns a request to another server without queueing it. The assignment has no
-// server if none has room or the retry budget is spent.
-func (a *Assigner) Retry(ctx context.Context, query brplacement.Query) (Assignment, error) {
-	return a.ask(ctx, message{kind: kindRetry, query: query})
+// Retry assigns a request to another server, without queueing it, and calls attempt with it.
+// The assignment has no server if none has room or the retry budget is spent.
+func (a *Assigner) Retry(ctx context.Context, query brplacement.Query, attempt Attempt) (Assignment, error) {
+	return a.assign(ctx, message{kind: kindRetry, query: query}, attempt)
 }
 
-func (a *Assigner) ask(ctx context.Context, m message) (Assignment, error) {
-	answer, err := brring.Ask(ctx, a.duty.Queue(), a.answers, func(reply brring.Reply[Assignment]) message {
+// assign asks for a server and makes the attempt. If the caller stops to wait, the duty
+// learns so from its answer and keeps the slot.
+func (a *Assigner) assign(ctx context.Context, m message, attempt Attempt) (Assignment, error) {
+	if a.open.Add(1) > maxOpen {
+		a.open.Add(-1)
+		return Assignment{}, errors.Errorf("assign request to server: %d other requests are in progress", maxOpen)
+	}
+	assignment, err := brring.Ask(ctx, a.duty.Queue(), a.answers, func(reply brring.Reply[Assignment]) message {
 		m.reply = reply
 		return m
 	})
+	if err != nil || !assignment.Assigned() {
+		a.open.Add(-1)
+	}
+	if err == nil && assignment.Assigned() {
+		err = a.use(ctx, assignment.Choice(), attempt)
+	}
 	if err != nil {
 		return Assignment{}, errors.Errorf("assign request to server: %w", err)
 	}
-	return answer, nil
+	return assignment, nil
 }
 
-// ReportOutcome reports how a request ended at its server, and how that counts for the
-// server's version.
-func (a *Assigner) ReportOutcome(outcome brplacement.Outcome, result VersionResult) {
-	_ = a.duty.Queue().SendReserved(message{kind: kindOutcome, outcome: outcome, result: result})
+// use makes the attempt at the assigned server, unless the context has ended, and releases
+// the slot also if the attempt panics.
+func (a *Assigner) use(ctx context.Context, choice brplacement.Choice, attempt Attempt) error {
+	end := &ending{outcome: brplacement.NewOutcome(choice.Server(), brrequest.OutcomeCancelled, 0)}
+	defer func() { _ = a.duty.Queue().SendReserved(message{kind: kindOutcome, ending: end}) }()
+	if ctx.Err() != nil {
+		return errors.Errorf("context ended as a server was assigned: %w", context.Cause(ctx))
+	}
+	outcome, result := attempt(choice)
+	*end = ending{outcome: outcome.WithServer(choice.Server()), result: result}
+	return nil
 }
 
 // SetExposures sets the share of requests that this VM may send to the new version of each
--- a/internal/duty/brassignment/handler.go
+++ b/internal/duty/brassignment/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -14,6 +15,7 @@
 	"bergamotroad.example/bergamotroad/internal/decide/brretry"
 	"bergamotroad.example/bergamotroad/internal/duty/braggregator"
 	"bergamotroad.example/bergamotroad/internal/model/brfleet"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
 	"bergamotroad.example/bergamotroad/internal/model/brstatus"
 )
 
@@ -30,6 +32,20 @@
 	tallies     map[uint64]brstatus.Tally
 	journal     Journal
 	notices     *prometheus.CounterVec
+	open        atomic.Int64 // see maxOpen
+}
+
+func newHandler(clock brclock.Clock, self brfleet.VM, aggregator *braggregator.Aggregator, detector PoisonDetector, journal Journal) *handler {
+	return &handler{
+		clock: clock, placer: brplacement.New(self.Name(), self.Region()), retryBudget: brretry.NewBudget(),
+		aggregator: aggregator, detector: detector,
+		view: &brfleet.View{}, tallies: map[uint64]brstatus.Tally{},
+		journal: journal,
+		notices: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bergamotroad_server_notices_total",
+			Help: "Responses by which a server said that it shuts down (leaving), or for how long it wants no requests (quiet).",
+		}, []string{"notice"}),
+	}
 }
 
 // Handle processes one message.
@@ -41,8 +57,9 @@
 	case kindRetry:
 		h.retry(now, m)
 	case kindOutcome:
-		h.recordOutcome(now, m.outcome)
-		h.tally(m.result)
+		h.open.Add(-1)
+		h.recordOutcome(now, m.ending.outcome)
+		h.tally(m.ending.result)
 		h.serve(now)
 	case kindExposures:
 		h.placer.SetExposures(m.exposures)
@@ -114,11 +131,8 @@
 
 func (h *handler) place(now time.Time, m message) {
 	h.retryBudget.Earn(m.query.Service())
-	if h.queue.Len() == 0 {
-		if choice, ok := h.placer.Pick(now, m.query); ok {
-			m.reply.Answer(Assignment{choice: choice, assigned: true})
-			return
-		}
+	if h.queue.Len() == 0 && h.assign(now, m.query, m.reply) {
+		return
 	}
 	availability := h.placer.Availability(now, m.query)
 	if !availability.HasCandidates() {
@@ -133,11 +147,8 @@
 }
 
 func (h *handler) retry(now time.Time, m message) {
-	if h.retryBudget.Spend(m.query.Service()) {
-		if choice, ok := h.placer.Pick(now, m.query); ok {
-			m.reply.Answer(Assignment{choice: choice, assigned: true})
-			return
-		}
+	if h.retryBudget.Spend(m.query.Service()) && h.assign(now, m.query, m.reply) {
+		return
 	}
 	// The caller's next attempt may use all servers again.
 	m.reply.Answer(h.unassigned(now, h.placer.Availability(now, m.query.WithoutExclusions())))
@@ -146,14 +157,24 @@
 // serve tries to assign the queued requests to servers, in queue order.
 func (h *handler) serve(now time.Time) {
 	h.queue.Serve(func(query brplacement.Query, reply brring.Reply[Assignment]) bool {
-		choice, ok := h.placer.Pick(now, query)
-		if ok {
-			reply.Answer(Assignment{choice: choice, assigned: true})
-		}
-		return ok
+		return h.assign(now, query, reply)
 	})
 }
 
+// assign assigns a request to a server, and reports whether it is settled: assigned, or
+// abandoned by its caller. It takes the slot back if the caller has not received the
+// assignment. All slots are taken here.
+func (h *handler) assign(now time.Time, query brplacement.Query, reply brring.Reply[Assignment]) bool {
+	if reply.IsAbandoned() {
+		return true
+	}
+	choice, ok := h.placer.Pick(now, query)
+	if ok && !reply.Answer(Assignment{choice: choice, assigned: true}) {
+		h.placer.RecordOutcome(now, brplacement.NewOutcome(choice.Server(), brrequest.OutcomeCancelled, 0))
+	}
+	return ok
+}
+
 // reportCrashes reports the servers that crashed while they ran a request.
 func (h *handler) reportCrashes() {
 	for _, crash := range h.placer.TakeCrashes() {
--- a/internal/service/brproxy/attempt.go
+++ b/internal/service/brproxy/attempt.go
@@ -51,25 +51,29 @@
 
 // run chooses a server, sends the request and retries it where that is allowed.
 func (p *Proxy) run(ctx context.Context, j *job) Result {
-	assignment, err := p.servers.Place(ctx, j.query, j.maxWait())
+	attempt := attemptResult{}
+	assignment, err := p.servers.Place(ctx, j.query, j.maxWait(), func(choice brplacement.Choice) (outcome brplacement.Outcome, version brassignment.VersionResult) {
+		attempt, outcome, version = p.send(ctx, j, choice)
+		return outcome, version
+	})
 	if err != nil {
 		return withContextReason(ctx, refused(brrequest.ReasonOverloaded, j.overloadRetryAfter()))
 	}
 	if !assignment.Assigned() {
 		return refuseUnplaced(j, assignment)
 	}
-	for {
-		attempt := p.send(ctx, j, assignment.Choice())
-		if attempt.final || !p.canRetry(ctx, j, attempt) {
-			return writeBuffered(j, attempt)
-		}
-		next, err := p.servers.Retry(ctx, j.query)
+	for !attempt.final && p.canRetry(ctx, j, attempt) {
+		failed := attempt
+		next, err := p.servers.Retry(ctx, j.query, func(choice brplacement.Choice) (outcome brplacement.Outcome, version brassignment.VersionResult) {
+			p.journal.Failure(j.request.ID(), "tried again", "server", j.choice.Server().ID(), "cause", failed.cause(), "next", choice.Server().ID())
+			attempt, outcome, version = p.send(ctx, j, choice)
+			return outcome, version
+		})
 		if err != nil || !next.Assigned() {
-			return writeBuffered(j, attempt.withRetryAfter(j, next))
+			return writeBuffered(j, failed.withRetryAfter(j, next))
 		}
-		p.journal.Failure(j.request.ID(), "tried again", "server", j.choice.Server().ID(), "cause", attempt.cause(), "next", next.Choice().Server().ID())
-		assignment = next
 	}
+	return writeBuffered(j, attempt)
 }
 
 func (j *job) maxWait() time.Duration {
@@ -161,8 +165,9 @@
 	return j.route.Idempotent() && j.runs < j.route.Attempts()
 }
 
-// send makes one attempt at the chosen server and records its outcome.
-func (p *Proxy) send(ctx context.Context, j *job, choice brplacement.Choice) attemptResult {
+// send makes one attempt at the chosen server. It returns its result, its outcome at the
+// server and how it counts for the server's version.
+func (p *Proxy) send(ctx context.Context, j *job, choice brplacement.Choice) (attemptResult, brplacement.Outcome, brassignment.VersionResult) {
 	server := choice.Server()
 	j.choice = choice
 	j.tries++
@@ -174,36 +179,36 @@
 	if attempt.result.fate != brrequest.FateNotRun {
 		j.runs++
 	}
-	p.recordOutcome(ctx, j, server, kind, duration, report)
 	p.metrics.observeAttempt(kind, duration)
-	return attempt
+	outcome := p.outcome(ctx, j, server, kind, duration, report)
+	if kind == brrequest.OutcomeAnswered || kind == brrequest.OutcomeFault {
+		p.poison.ReportCompletion(j.fingerprint)
+	}
+	return attempt, outcome, versionResult(j, server, kind, duration)
 }
 
-func (p *Proxy) recordOutcome(ctx context.Context, j *job, server brfleet.Server, kind brrequest.OutcomeKind, duration time.Duration, report brfleet.ServerReport) {
-	versionResult := brassignment.VersionResult{}
-	slow := j.route.TargetLatency() > 0 && duration > slowFactor*j.route.TargetLatency()
-	switch kind {
-	case brrequest.OutcomeAnswered:
-		versionResult = brassignment.NewVersionResult(j.service, server.Version(), slow)
-	case brrequest.OutcomeFault, brrequest.OutcomeBroken:
-		versionResult = brassignment.NewVersionResult(j.service, server.Version(), true)
-	case brrequest.OutcomeCancelled:
-		if slow {
-			versionResult = brassignment.NewVersionResult(j.service, server.Version(), true)
-		}
-	default:
-	}
+// outcome returns how an attempt ended at its server.
+func (p *Proxy) outcome(ctx context.Context, j *job, server brfleet.Server, kind brrequest.OutcomeKind, duration time.Duration, report brfleet.ServerReport) brplacement.Outcome {
 	latency := duration
 	if kind != brrequest.OutcomeAnswered {
 		latency = 0
 	}
-	outcome := brplacement.NewOutcome(server, kind, latency).
+	return brplacement.NewOutcome(server, kind, latency).
 		WithReport(report).
 		WithRequest(j.fingerprint).
 		WithServerDown(kind == brrequest.OutcomeBroken && p.isDead(ctx, server))
-	p.servers.ReportOutcome(outcome, versionResult)
-	if kind == brrequest.OutcomeAnswered || kind == brrequest.OutcomeFault {
-		p.poison.ReportCompletion(j.fingerprint)
+}
+
+// versionResult returns how an attempt counts for the version of its server.
+func versionResult(j *job, server brfleet.Server, kind brrequest.OutcomeKind, duration time.Duration) brassignment.VersionResult {
+	slow := j.route.TargetLatency() > 0 && duration > slowFactor*j.route.TargetLatency()
+	switch {
+	case kind == brrequest.OutcomeAnswered:
+		return brassignment.NewVersionResult(j.service, server.Version(), slow)
+	case kind == brrequest.OutcomeFault, kind == brrequest.OutcomeBroken, kind == brrequest.OutcomeCancelled && slow:
+		return brassignment.NewVersionResult(j.service, server.Version(), true)
+	default:
+		return brassignment.VersionResult{}
 	}
 }
 
--- a/internal/service/brproxy/proxy.go
+++ b/internal/service/brproxy/proxy.go
@@ -57,13 +57,12 @@
 
 // ServerSelector chooses servers for requests.
 type ServerSelector interface {
-	// Place chooses a server for a request, or queues the request for up to maxWait.
-	Place(ctx context.Context, query brplacement.Query, maxWait time.Duration) (brassignment.Assignment, error)
-	// Retry chooses another server for a request without queueing it.
-	Retry(ctx context.Context, query brplacement.Query) (brassignment.Assignment, error)
-	// ReportOutcome records the outcome of an attempt, and whether it counts as good or
-	// bad for the server's version.
-	ReportOutcome(outcome brplacement.Outcome, version brassignment.VersionResult)
+	// Place chooses a server for a request, or queues the request for up to maxWait, and
+	// calls attempt with the server.
+	Place(ctx context.Context, query brplacement.Query, maxWait time.Duration, attempt brassignment.Attempt) (brassignment.Assignment, error)
+	// Retry chooses another server for a request without queueing it, and calls attempt with
+	// the server.
+	Retry(ctx context.Context, query brplacement.Query, attempt brassignment.Attempt) (brassignment.Assignment, error)
 }
 
 // PoisonDetector detects poison requests: requests that crash the servers that run them.
