--- a/internal/decide/brretry/retry.go
+++ b/internal/decide/brretry/retry.go
@@ -76,6 +76,11 @@
 	return true
 }
 
+// Refund returns the token of a retry that was not sent.
+func (b *Budget) Refund(route string) {
+	b.balances[route] = min(b.balance(route)+costPerRetry, maxBalance)
+}
+
 // Keep removes the budgets of all routes for which listed returns false.
 func (b *Budget) Keep(listed func(route string) bool) {
 	for route := range b.balances {
--- a/internal/duty/brassignment/assigner.go
+++ b/internal/duty/brassignment/assigner.go
@@ -71,8 +71,9 @@
 
 // ending is how an attempt at a server ended.
 type ending struct {
-	outcome brplacement.Outcome
-	result  VersionResult
+	outcome     brplacement.Outcome
+	result      VersionResult
+	unsentRetry bool // a retry that was assigned a server, but not sent
 }
 
 // Attempt sends a request to the chosen server, and returns how that ended and how it counts
@@ -196,7 +197,7 @@
 		a.open.Add(-1)
 	}
 	if err == nil && assignment.Assigned() {
-		err = a.use(ctx, assignment.Choice(), attempt)
+		err = a.use(ctx, assignment.Choice(), m.kind == kindRetry, attempt)
 	}
 	if err != nil {
 		return Assignment{}, errors.Errorf("assign request to server: %w", err)
@@ -206,12 +207,13 @@
 
 // use makes the attempt at the assigned server, unless the context has ended, and releases
 // the slot also if the attempt panics.
-func (a *Assigner) use(ctx context.Context, choice brplacement.Choice, attempt Attempt) error {
-	end := &ending{outcome: brplacement.NewOutcome(choice.Server(), brrequest.OutcomeCancelled, 0)}
+func (a *Assigner) use(ctx context.Context, choice brplacement.Choice, isRetry bool, attempt Attempt) error {
+	end := &ending{outcome: brplacement.NewOutcome(choice.Server(), brrequest.OutcomeCancelled, 0), unsentRetry: isRetry}
 	defer func() { _ = a.duty.Queue().SendReserved(message{kind: kindOutcome, ending: end}) }()
 	if ctx.Err() != nil {
 		return errors.Errorf("context ended as a server was assigned: %w", context.Cause(ctx))
 	}
+	end.unsentRetry = false
 	outcome, result := attempt(choice)
 	*end = ending{outcome: outcome.WithServer(choice.Server()), result: result}
 	return nil
--- a/internal/duty/brassignment/handler.go
+++ b/internal/duty/brassignment/handler.go
@@ -58,6 +58,9 @@
 		h.retry(now, m)
 	case kindOutcome:
 		h.open.Add(-1)
+		if m.ending.unsentRetry {
+			h.retryBudget.Refund(m.ending.outcome.Server().Service())
+		}
 		h.recordOutcome(now, m.ending.outcome)
 		h.tally(m.ending.result)
 		h.serve(now)
@@ -131,7 +134,7 @@
 
 func (h *handler) place(now time.Time, m message) {
 	h.retryBudget.Earn(m.query.Service())
-	if h.queue.Len() == 0 && h.assign(now, m.query, m.reply) {
+	if h.queue.Len() == 0 && h.assign(now, m.query, m.reply) != unassigned {
 		return
 	}
 	availability := h.placer.Availability(now, m.query)
@@ -146,9 +149,19 @@
 	h.serve(now)
 }
 
+// retry assigns a request to another server. The retry budget is charged only for a retry
+// that is sent.
 func (h *handler) retry(now time.Time, m message) {
-	if h.retryBudget.Spend(m.query.Service()) && h.assign(now, m.query, m.reply) {
-		return
+	service := m.query.Service()
+	if h.retryBudget.Spend(service) {
+		settled := h.assign(now, m.query, m.reply)
+		if settled == assigned {
+			return
+		}
+		h.retryBudget.Refund(service)
+		if settled == abandoned {
+			return
+		}
 	}
 	// The caller's next attempt may use all servers again.
 	m.reply.Answer(h.unassigned(now, h.placer.Availability(now, m.query.WithoutExclusions())))
@@ -157,22 +170,37 @@
 // serve tries to assign the queued requests to servers, in queue order.
 func (h *handler) serve(now time.Time) {
 	h.queue.Serve(func(query brplacement.Query, reply brring.Reply[Assignment]) bool {
-		return h.assign(now, query, reply)
+		return h.assign(now, query, reply) != unassigned
 	})
 }
 
-// assign assigns a request to a server, and reports whether it is settled: assigned, or
-// abandoned by its caller. It takes the slot back if the caller has not received the
-// assignment. All slots are taken here.
-func (h *handler) assign(now time.Time, query brplacement.Query, reply brring.Reply[Assignment]) bool {
+// assignResult is the result of an attempt to assign a request to a server.
+type assignResult int
+
+const (
+	// unassigned means that no server has room.
+	unassigned assignResult = iota
+	// assigned means that the caller received the assignment.
+	assigned
+	// abandoned means that the caller no longer waits.
+	abandoned
+)
+
+// assign assigns a request to a server. It takes the slot back if the caller has not
+// received the assignment. All slots are taken here.
+func (h *handler) assign(now time.Time, query brplacement.Query, reply brring.Reply[Assignment]) assignResult {
 	if reply.IsAbandoned() {
-		return true
+		return abandoned
 	}
 	choice, ok := h.placer.Pick(now, query)
-	if ok && !reply.Answer(Assignment{choice: choice, assigned: true}) {
+	if !ok {
+		return unassigned
+	}
+	if !reply.Answer(Assignment{choice: choice, assigned: true}) {
 		h.placer.RecordOutcome(now, brplacement.NewOutcome(choice.Server(), brrequest.OutcomeCancelled, 0))
+		return abandoned
 	}
-	return ok
+	return assigned
 }
 
 // reportCrashes reports the servers that crashed while they ran a request.
--- a/internal/duty/brassignment/slots_test.go
+++ b/internal/duty/brassignment/slots_test.go
@@ -285,6 +285,50 @@
 	})
 }
 
+// Retries find no server, or their callers leave before they are sent. They must not use up
+// the retry budget, which would refuse the retries of others.
+func TestRetriesThatAreNotSentAreNotCharged(t *testing.T) {
+	const rounds = 20 // more than the budget allows
+	requireFullBudget := func(t *testing.T, h *handler) {
+		for range 3 {
+			require.True(t, h.retryBudget.Spend(services[0]))
+		}
+		require.False(t, h.retryBudget.Spend(services[0]))
+	}
+	t.Run("no server", func(t *testing.T) {
+		h, m := newUnreceived(t)
+		m.kind, m.query = kindRetry, m.query.Excluding("s-0")
+		for range rounds {
+			h.Handle(t.Context(), m)
+		}
+		requireFullBudget(t, h)
+	})
+	t.Run("answer not received", func(t *testing.T) {
+		h, m := newUnreceived(t)
+		m.kind = kindRetry
+		for range rounds {
+			h.Handle(t.Context(), m)
+		}
+		requireFullBudget(t, h)
+	})
+	t.Run("context ended as a server was assigned", func(t *testing.T) {
+		h, m := newUnreceived(t)
+		a := newAssigner(h.clock, h)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		for range rounds {
+			require.True(t, h.retryBudget.Spend(services[0]))
+			choice, ok := h.placer.Pick(h.clock.Now(), m.query)
+			require.True(t, ok)
+			require.ErrorIs(t, a.use(ctx, choice, true, nil), context.Canceled)
+			end, ok := a.duty.Queue().TryReceive()
+			require.True(t, ok)
+			h.Handle(t.Context(), end)
+		}
+		requireFullBudget(t, h)
+	})
+}
+
 // An attempt panics, as handlers do to abort a response. Its slot must be released.
 func TestSlotOfAttemptThatPanicsIsReleased(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
