--- a/internal/duty/brretrybudget/duty.go
+++ b/internal/duty/brretrybudget/duty.go
@@ -57,7 +57,8 @@
 	_ = b.duty.Queue().Send(message{route: route})
 }
 
-// Spend charges one retry to the budget of a route and reports whether it is allowed.
+// Spend charges one retry to the budget of a route and reports whether it is allowed. It
+// charges nothing if the context ends first.
 func (b *Budgets) Spend(ctx context.Context, route string) bool {
 	allowed, err := brring.Ask(ctx, b.duty.Queue(), b.answers, func(reply brring.Reply[bool]) message {
 		return message{route: route, charge: true, reply: reply}
@@ -71,11 +72,14 @@
 
 // Handle credits or charges the budget of a route.
 func (h *handler) Handle(_ context.Context, m message) {
-	if m.charge {
-		m.reply.Answer(h.budget.Spend(m.route))
+	if !m.charge {
+		h.budget.Earn(m.route)
 		return
 	}
-	h.budget.Earn(m.route)
+	allowed := h.budget.Spend(m.route)
+	if !m.reply.Answer(allowed) && allowed {
+		h.budget.Refund(m.route)
+	}
 }
 
 // Update removes the budgets of deleted routes.
