--- a/internal/decide/brquota/pool.go
+++ b/internal/decide/brquota/pool.go
@@ -89,6 +89,14 @@
 	return l.decide(organisation, b)
 }
 
+// RefundLent returns the token of a request that was admitted against the region's bucket,
+// but did not run.
+func (l *Limiter) RefundLent(organisation string) {
+	if b, ok := l.pool.buckets[organisation]; ok {
+		b.level = math.Max(b.level-1, 0)
+	}
+}
+
 // startFraction returns the fraction of a pooled bucket that is available when this VM
 // starts to lend. It is 0 unless the organisation is known to be underloaded.
 func (l *Limiter) startFraction(organisation brfleet.Organisation) float64 {
--- a/internal/duty/brallowance/duty.go
+++ b/internal/duty/brallowance/duty.go
@@ -30,6 +30,9 @@
 
 const (
 	queueCapacity = 2048 // messages
+	// queueReserve is for the refunds of requests that did not run. A refund that the queue
+	// rejected would be missing from the quota until the bucket has drained.
+	queueReserve = 2048 // messages
 	// reportPeriod is the interval between reports of the demand.
 	reportPeriod = 250 * time.Millisecond
 )
@@ -59,7 +62,7 @@
 func New(clock brclock.Clock, vm string, bounds brfleet.Bounds, aggregator *braggregator.Aggregator, replicator *brreplicator.Replicator) *Enforcer {
 	h := &handler{vm: vm, clock: clock, aggregator: aggregator, replicator: replicator, limiter: brquota.NewLimiter(clock.Now(), bounds, rand.Float64)}
 	e := &Enforcer{
-		duty:    brduty.New[message, *braggregator.Summary]("metering", h, clock, brduty.WithCapacity(queueCapacity), brduty.WithPeriod(reportPeriod)),
+		duty:    brduty.New[message, *braggregator.Summary]("metering", h, clock, brduty.WithCapacity(queueCapacity), brduty.WithReserve(queueReserve), brduty.WithPeriod(reportPeriod)),
 		answers: brring.NewReplyPool[brquota.Decision](),
 	}
 	aggregator.Subscribe(e.duty.Snapshots())
@@ -69,7 +72,8 @@
 // Duty returns the duty for a group to start.
 func (e *Enforcer) Duty() brduty.Runner { return e.duty }
 
-// Admit decides whether a request is within this VM's part of its organisation's quota.
+// Admit decides whether a request is within this VM's part of its organisation's quota. No
+// token is taken if the context ends first.
 func (e *Enforcer) Admit(ctx context.Context, organisation brfleet.Organisation) (brquota.Decision, error) {
 	return e.ask(ctx, kindAdmit, organisation)
 }
@@ -92,7 +96,7 @@
 
 // Refund returns the token of a request that did not run.
 func (e *Enforcer) Refund(organisation brfleet.Organisation) {
-	_ = e.duty.Queue().Send(message{kind: kindRefund, organisation: organisation})
+	_ = e.duty.Queue().SendReserved(message{kind: kindRefund, organisation: organisation})
 }
 
 // handler owns the state of the quotas.
@@ -105,13 +109,20 @@
 	hadDemand  bool
 }
 
-// Handle decides on one request, or takes its token back.
+// Handle decides on one request, or takes its token back. A token is also taken back if the
+// caller has not received the decision, since the request will not run.
 func (h *handler) Handle(_ context.Context, m message) {
 	switch m.kind {
 	case kindAdmit:
-		m.reply.Answer(h.limiter.Admit(h.clock.Now(), m.organisation))
+		decision := h.limiter.Admit(h.clock.Now(), m.organisation)
+		if !m.reply.Answer(decision) && decision.Admitted() {
+			h.limiter.Refund(m.organisation.Name())
+		}
 	case kindLend:
-		m.reply.Answer(h.limiter.Lend(h.clock.Now(), m.organisation))
+		decision := h.limiter.Lend(h.clock.Now(), m.organisation)
+		if !m.reply.Answer(decision) && decision.Admitted() {
+			h.limiter.RefundLent(m.organisation.Name())
+		}
 	case kindRefund:
 		h.limiter.Refund(m.organisation.Name())
 	}
