--- a/internal/duty/bradmission/admission_bench_test.go
+++ b/internal/duty/bradmission/admission_bench_test.go
@@ -84,3 +84,13 @@
 	require.Positive(t, decision.RetryAfter())
 	require.LessOrEqual(t, decision.RetryAfter(), time.Second)
 }
+
+// The search for loans of an organisation ends while the duty's ring is full. If the end
+// were rejected, no further search would start for the organisation.
+func TestEndOfLoanSearchIsAcceptedWhileRingIsFull(t *testing.T) {
+	admission := bradmission.New(brclock.NewSystem())
+	for err := error(nil); err == nil; {
+		err = admission.Grant(nil)
+	}
+	require.NoError(t, admission.FinishSearch("taller"))
+}
--- a/internal/duty/bradmission/duty.go
+++ b/internal/duty/bradmission/duty.go
@@ -30,6 +30,10 @@
 
 const (
 	queueCapacity = 4096 // messages
+	// queueReserve is for the ends of loan searches. There are at most as many as the
+	// borrower queues, 1,024, and the one that it carries out. If one were rejected, the
+	// organisation's account would wait for the end of its search for good.
+	queueReserve = 1025 // messages
 	// tickPeriod is the interval between checks for loans that need renewal.
 	tickPeriod = 500 * time.Millisecond
 	// parkPeriod bounds how long after its timeout a parked request is answered.
@@ -57,7 +61,7 @@
 func New(clock brclock.Clock) *Admission {
 	h := &handler{clock: clock, authenticator: newAuthenticator(), limits: newLimits(clock)}
 	return &Admission{
-		duty:      brduty.New("admission", h, clock, brduty.WithCapacity(queueCapacity), brduty.WithPeriod(tickPeriod)),
+		duty:      brduty.New("admission", h, clock, brduty.WithCapacity(queueCapacity), brduty.WithReserve(queueReserve), brduty.WithPeriod(tickPeriod)),
 		handler:   h,
 		decisions: brring.NewReplyPool[brrequest.Decision](),
 		booleans:  brring.NewReplyPool[bool](),
--- a/internal/duty/bradmission/operation.go
+++ b/internal/duty/bradmission/operation.go
@@ -66,7 +66,7 @@
 
 // FinishSearch reports that a search for loans has ended.
 func (a *Admission) FinishSearch(organisation string) error {
-	err := a.duty.Queue().Send(message{operation: func(h *handler) {
+	err := a.duty.Queue().SendReserved(message{operation: func(h *handler) {
 		if account, ok := h.limits.accounts[organisation]; ok {
 			account.searching = false
 		}
