--- a/internal/duty/bradmission/admission_bench_test.go
+++ b/internal/duty/bradmission/admission_bench_test.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -94,3 +95,25 @@
 	}
 	require.NoError(t, admission.FinishSearch("taller"))
 }
+
+// Callers leave while the duty does not handle their requests. They must not be charged to
+// the organisation's limit.
+func TestRequestsOfCallersThatLeftAreNotCharged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		admission, request := startAdmission(t, 2)
+		time.Sleep(2 * time.Second) // for the burst of 2 tokens
+		until := make(chan struct{})
+		require.NoError(t, admission.Stall(until))
+		ctx, cancel := context.WithCancel(t.Context())
+		for range 20 {
+			go func() { _, _ = admission.Admit(ctx, request) }()
+		}
+		synctest.Wait()
+		cancel()
+		synctest.Wait()
+		close(until)
+		decision, err := admission.Admit(t.Context(), request)
+		require.NoError(t, err)
+		require.True(t, decision.Admitted())
+	})
+}
--- a/internal/duty/bradmission/duty.go
+++ b/internal/duty/bradmission/duty.go
@@ -101,12 +101,16 @@
 	renewed       time.Time
 }
 
-// Handle decides on one request, or runs an operation on the rate limits.
+// Handle decides on one request, or runs an operation on the rate limits. A request whose
+// caller no longer waits is not charged.
 func (h *handler) Handle(_ context.Context, m message) {
 	if m.operation != nil {
 		m.operation(h)
 		return
 	}
+	if m.reply.IsAbandoned() {
+		return
+	}
 	decision := h.decide(m.request)
 	if !h.park(m, decision) {
 		m.reply.Answer(decision)
--- a/internal/duty/bradmission/park.go
+++ b/internal/duty/bradmission/park.go
@@ -39,12 +39,15 @@
 }
 
 // retryParked admits the parked requests of an organisation for which there are now
-// enough tokens.
+// enough tokens, and drops those whose callers no longer wait.
 func (h *handler) retryParked(organisation string) {
 	h.parked = slices.DeleteFunc(h.parked, func(p parked) bool {
 		if p.organisation != organisation {
 			return false
 		}
+		if p.message.reply.IsAbandoned() {
+			return true
+		}
 		decision := h.decide(p.message.request)
 		if decision.Admitted() {
 			p.message.reply.Answer(decision)
