--- a/internal/duty/brquarantine/duty.go
+++ b/internal/duty/brquarantine/duty.go
@@ -167,7 +167,7 @@
 	now := h.clock.Now()
 	switch m.action {
 	case actionBegin:
-		m.reply.Answer(answer{verdict: h.detector.Begin(now, m.fingerprint)})
+		h.begin(now, m)
 	case actionCompletion:
 		h.recordCompletion(now, m.fingerprint)
 	case actionInconclusive:
@@ -184,6 +184,15 @@
 	}
 }
 
+// begin decides whether a request may run. If the caller has not received the verdict, the
+// request doesn't run, and its trial ends.
+func (h *handler[P]) begin(now time.Time, m message) {
+	verdict := h.detector.Begin(now, m.fingerprint)
+	if !m.reply.Answer(answer{verdict: verdict}) && verdict == brpoison.Admitted {
+		h.detector.EndTrial(m.fingerprint)
+	}
+}
+
 // Update does nothing: the duty uses no snapshots.
 func (*handler[P]) Update(context.Context, struct{}) {}
 
--- a/internal/duty/brquarantine/duty_test.go
+++ b/internal/duty/brquarantine/duty_test.go
@@ -1,6 +1,7 @@
 package brquarantine_test
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"testing"
@@ -115,3 +116,24 @@
 		require.False(t, refused)
 	})
 }
+
+// The caller of a suspect leaves before the duty lets the suspect run. Its trial must not
+// defer the other suspects, since it will not end.
+func TestTrialOfCallerThatLeftEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := brclock.NewSystem()
+		detector := brquarantine.New[brpoison.SerialPolicy](clock, discardEvents{}, &fakeBroadcaster{})
+		other := brrequest.NewFingerprint("entries", "GET", "/harmless", nil, 0)
+		detector.ReportCrash(fingerprint, "server-1")
+		detector.ReportCrash(other, "server-1")
+		ctx, cancel := context.WithCancel(t.Context())
+		go detector.Begin(ctx, fingerprint)
+		synctest.Wait()
+		cancel()
+		synctest.Wait()
+		group := brduty.NewGroup(t.Context(), clock, brobserver.Nop{})
+		group.Start(detector.Duty())
+		defer group.Stop()
+		require.Equal(t, brpoison.Admitted, detector.Begin(t.Context(), other))
+	})
+}
