--- a/internal/decide/brlink/pacer.go
+++ b/internal/decide/brlink/pacer.go
@@ -88,6 +88,14 @@
 	return granted
 }
 
+// Remove removes the waiting chunks whose value matches. They use none of the link's bytes.
+func (p *Pacer[T]) Remove(matches func(value T) bool) {
+	if c, ok := p.nextChunk.Get(); ok && matches(c.value) {
+		p.nextChunk = broption.None[chunk[T]]()
+	}
+	p.queue.Remove(func(c chunk[T]) bool { return matches(c.value) })
+}
+
 // NextDelay returns the time until the next chunk may be sent. It returns false if
 // no chunk waits.
 func (p *Pacer[T]) NextDelay(now time.Time) (time.Duration, bool) {
--- a/internal/duty/brbandwidth/duty.go
+++ b/internal/duty/brbandwidth/duty.go
@@ -92,7 +92,12 @@
 		m.reply.Answer(answer{})
 		return
 	}
-	if err := pacer.Enqueue(m.stream, m.bytes, m.reply); err != nil {
+	err := pacer.Enqueue(m.stream, m.bytes, m.reply)
+	if brfairqueue.IsErrFull(err) {
+		pacer.Remove(brring.Reply[answer].IsAbandoned)
+		err = pacer.Enqueue(m.stream, m.bytes, m.reply)
+	}
+	if err != nil {
 		m.reply.Answer(answer{refusal: err})
 		return
 	}
@@ -121,6 +126,7 @@
 // Tick grants the chunks that have become due.
 func (h *handler) Tick(_ context.Context, now time.Time) {
 	for _, pacer := range h.pacers {
+		pacer.Remove(brring.Reply[answer].IsAbandoned)
 		grantDue(pacer, now)
 	}
 }
--- a/internal/duty/brbandwidth/duty_test.go
+++ b/internal/duty/brbandwidth/duty_test.go
@@ -1,6 +1,8 @@
 package brbandwidth_test
 
 import (
+	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -63,3 +65,29 @@
 		require.InDelta(t, 5, time.Since(started).Seconds(), 0.001)
 	})
 }
+
+// Callers leave while their chunks wait for the link. The chunks are not sent, so they must
+// neither use the link's bytes nor keep its queue full.
+func TestChunksOfCallersThatLeftUseNoBandwidth(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := brclock.NewSystem()
+		limiter := brbandwidth.New("montevideo-a", clock)
+		group := brduty.NewGroup(t.Context(), clock, brobserver.Nop{})
+		group.Start(limiter.Duty())
+		defer group.Stop()
+		const bytesPerSecond = 20 * brlink.MaxChunk
+		require.NoError(t, limiter.Snapshots().Send(snapshotWithLink(t, bytesPerSecond)))
+		synctest.Wait()
+		ctx, cancel := context.WithCancel(t.Context())
+		for i := range 5000 { // more than the queue holds
+			go func() { _ = limiter.Wait(ctx, "este-a", fmt.Sprint("stream-", i), brlink.MaxChunk) }()
+			synctest.Wait()
+		}
+		cancel()
+		synctest.Wait()
+		started := time.Now()
+		require.NoError(t, limiter.Wait(t.Context(), "este-a", "extract", brlink.MaxChunk))
+		// One chunk takes 0.1 s, and the one of a caller that left may be paid for already.
+		require.LessOrEqual(t, time.Since(started), 200*time.Millisecond)
+	})
+}
