--- a/internal/duty/brclaimstore/duty.go
+++ b/internal/duty/brclaimstore/duty.go
@@ -41,7 +41,12 @@
 	"bergamotroad.example/bergamotroad/internal/peer/brtable"
 )
 
-const queueCapacity = 2048 // claims and records
+const (
+	queueCapacity = 2048 // claims
+	// queueReserve is for records and releases. Without the one that ends its claim, a key
+	// stays claimed until its deadline, and its outcome reads as unknown after that.
+	queueReserve = 2048 // messages
+)
 
 // ErrClaimUnavailable means that the table did not confirm or reject a claim in time.
 // The request must not be executed.
@@ -93,7 +98,7 @@
 	h := &handler{table: table, clock: clock}
 	return &Store{
 		clock:   clock,
-		duty:    brduty.New[message, struct{}]("claiming", h, clock, brduty.WithCapacity(queueCapacity)),
+		duty:    brduty.New[message, struct{}]("claiming", h, clock, brduty.WithCapacity(queueCapacity), brduty.WithReserve(queueReserve)),
 		results: brring.NewReplyPool[ClaimResult](),
 	}
 }
@@ -120,7 +125,7 @@
 // QueueRecord queues the record of a finished attempt to be written to the table. It returns an
 // error if the queue is full; the claim then reads as unknown later.
 func (s *Store) QueueRecord(record brclaim.Record) error {
-	if err := s.duty.Queue().Send(message{record: record, isRecord: true}); err != nil {
+	if err := s.duty.Queue().SendReserved(message{record: record, isRecord: true}); err != nil {
 		return errors.Errorf("queue record of claim: %w", err)
 	}
 	return nil
--- a/internal/duty/brclaimstore/handler.go
+++ b/internal/duty/brclaimstore/handler.go
@@ -212,9 +212,14 @@
 	h.settle(a, ClaimResult{decision: decision, record: record})
 }
 
+// settle answers an attempt. If the caller has not received that it holds the key, its request
+// doesn't run, and the claim is released.
 func (h *handler) settle(a *attempt, result ClaimResult) {
-	a.message.reply.Answer(result)
+	received := a.message.reply.Answer(result)
 	h.attempts = slices.DeleteFunc(h.attempts, func(other *attempt) bool { return other == a })
+	if !received && result.err == nil && result.decision == bridempotency.Run {
+		h.release(a.message.claim)
+	}
 }
 
 // writeRecords writes the oldest records. Only the VM that holds a claim writes its
--- a/internal/duty/brclaimstore/release.go
+++ b/internal/duty/brclaimstore/release.go
@@ -18,7 +18,7 @@
 // retry can be executed. If the deletion fails the claim remains and later reads as
 // unknown.
 func (s *Store) Release(claim brclaim.Claim) error {
-	if err := s.duty.Queue().Send(message{claim: claim, isRelease: true}); err != nil {
+	if err := s.duty.Queue().SendReserved(message{claim: claim, isRelease: true}); err != nil {
 		return errors.Errorf("release claim: %w", err)
 	}
 	return nil
--- a/internal/duty/brclaimstore/release_test.go
+++ b/internal/duty/brclaimstore/release_test.go
@@ -95,3 +95,31 @@
 	_, ok = drained.TryReceive()
 	require.True(t, ok)
 }
+
+// A caller leaves while its claim is written. Its request does not run, so the key must be
+// free for the next one.
+func TestClaimOfCallerThatLeftIsReleased(t *testing.T) {
+	ctx := context.Background()
+	h, table, clock := newHandler()
+	abandoned := brring.NewQueue[ClaimResult](1)
+	abandoned.Close()
+	claim := brclaim.NewClaim("key", "1", "same", "vm-1", clock.Now(), clock.Now().Add(time.Minute))
+	h.Handle(ctx, message{claim: claim, deadline: clock.Now().Add(3 * time.Second), reply: brring.NewReply(abandoned)})
+	h.Tick(ctx, clock.Now())
+	h.Tick(ctx, clock.Now())
+	require.Equal(t, 2, table.Commits(), "the claim and its release")
+	_, replies := claimNow(h, clock, "2")
+	requireRun(t, replies)
+}
+
+// Claimed requests end while the duty's ring is full. If their record or release were
+// rejected, their keys would stay claimed.
+func TestEndOfClaimIsAcceptedWhileRingIsFull(t *testing.T) {
+	store := New(nil, brclock.NewFake(start))
+	for err := error(nil); err == nil; {
+		err = store.duty.Queue().Send(message{})
+	}
+	claim := brclaim.NewClaim("key", "1", "same", "vm-1", start, start.Add(time.Minute))
+	require.NoError(t, store.Release(claim))
+	require.NoError(t, store.QueueRecord(brclaim.NewRecord(claim)))
+}
