--- a/internal/duty/brdistributor/handler.go
+++ b/internal/duty/brdistributor/handler.go
@@ -47,7 +47,7 @@
 // Update does nothing: this duty produces the snapshots.
 func (*handler) Update(context.Context, struct{}) {}
 
-// Tick answers the waiters that have timed out.
+// Tick answers the waiters that have timed out and drops those that have left.
 func (h *handler) Tick(_ context.Context, now time.Time) {
 	h.answerWaiters(now)
 }
@@ -177,8 +177,12 @@
 	h.events.Record(brevent.New(brevent.KindConfigurationActivated).WithDetail("generation", formatGeneration(h.state.head)))
 }
 
+// answerWaiters answers the waiters whose wait is over, and drops those that have left.
 func (h *handler) answerWaiters(now time.Time) {
 	h.waiters = slices.DeleteFunc(h.waiters, func(m message) bool {
+		if m.reply.IsAbandoned() {
+			return true
+		}
 		done := h.state.head.Generation() > m.above || (!now.IsZero() && !now.Before(m.until))
 		if done {
 			m.reply.Answer(h.state)
