--- a/internal/duty/brassignment/assigner.go
+++ b/internal/duty/brassignment/assigner.go
@@ -92,12 +92,6 @@
 	StateChange(change string, fields ...any)
 }
 
-// Values of the metric's label for what servers say in their responses.
-const (
-	noticeLeaving = "leaving"
-	noticeQuiet   = "quiet"
-)
-
 // Assignment is the server assigned to a request, or none. It is immutable.
 type Assignment struct {
 	choice        brplacement.Choice
@@ -139,10 +133,10 @@
 
 // Assigner is the duty and its client methods, which may be called concurrently.
 type Assigner struct {
-	duty    *brduty.Duty[message, *brfleet.View]
-	answers *brring.ReplyPool[Assignment]
-	notices *prometheus.CounterVec
-	open    *atomic.Int64 // requests that ask for a server or have one
+	duty       *brduty.Duty[message, *brfleet.View]
+	answers    *brring.ReplyPool[Assignment]
+	collectors []prometheus.Collector
+	open       *atomic.Int64 // requests that ask for a server or have one
 }
 
 // New returns the duty of a VM.
@@ -154,14 +148,14 @@
 	return &Assigner{
 		duty: brduty.New[message, *brfleet.View]("placing", h, clock,
 			brduty.WithCapacity(queueCapacity), brduty.WithReserve(queueReserve), brduty.WithPeriod(idlePeriod)),
-		answers: brring.NewReplyPool[Assignment](),
-		notices: h.notices,
-		open:    &h.open,
+		answers:    brring.NewReplyPool[Assignment](),
+		collectors: h.metrics.collectors(),
+		open:       &h.open,
 	}
 }
 
 // Collectors returns the duty's metrics.
-func (a *Assigner) Collectors() []prometheus.Collector { return []prometheus.Collector{a.notices} }
+func (a *Assigner) Collectors() []prometheus.Collector { return a.collectors }
 
 // Duty returns the duty for a group to start.
 func (a *Assigner) Duty() brduty.Runner { return a.duty }
--- a/internal/duty/brassignment/handler.go
+++ b/internal/duty/brassignment/handler.go
@@ -6,8 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-
 	"bergamotroad.example/bergamotroad/internal/core/brclock"
 	"bergamotroad.example/bergamotroad/internal/core/brring"
 	"bergamotroad.example/bergamotroad/internal/decide/brbackoff"
@@ -31,7 +29,7 @@
 	view        *brfleet.View
 	tallies     map[uint64]brstatus.Tally
 	journal     Journal
-	notices     *prometheus.CounterVec
+	metrics     metrics
 	open        atomic.Int64 // see maxOpen
 }
 
@@ -41,10 +39,7 @@
 		aggregator: aggregator, detector: detector,
 		view: &brfleet.View{}, tallies: map[uint64]brstatus.Tally{},
 		journal: journal,
-		notices: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "bergamotroad_server_notices_total",
-			Help: "Responses by which a server said that it shuts down (leaving), or for how long it wants no requests (quiet).",
-		}, []string{"notice"}),
+		metrics: newMetrics(),
 	}
 }
 
@@ -84,6 +79,7 @@
 // has expired.
 func (h *handler) Tick(_ context.Context, now time.Time) {
 	h.serve(now)
+	h.metrics.publishRunning(now, h.placer.Running)
 	for _, reply := range h.queue.Expire(now) {
 		reply.Answer(Assignment{hasCandidates: true, waiting: h.queue.Len()})
 	}
@@ -94,11 +90,11 @@
 func (h *handler) recordOutcome(now time.Time, outcome brplacement.Outcome) {
 	switch server := outcome.Server(); h.placer.RecordOutcome(now, outcome) {
 	case brbackoff.Left:
-		h.notices.WithLabelValues(noticeLeaving).Inc()
+		h.metrics.notices.WithLabelValues(noticeLeaving).Inc()
 		h.journal.StateChange("server leaves", "server", server.ID(), "service", server.Service(), "address", server.Address(), "started", server.StartUnixMilli())
 		h.answerHopeless(now)
 	case brbackoff.Quiet:
-		h.notices.WithLabelValues(noticeQuiet).Inc()
+		h.metrics.notices.WithLabelValues(noticeQuiet).Inc()
 		h.journal.StateChange("server wants no requests", "server", server.ID(), "service", server.Service(), "retry_after_ms", outcome.Report().RetryAfter().Milliseconds())
 		h.answerHopeless(now)
 	default:
--- a/internal/duty/brassignment/slots_test.go
+++ b/internal/duty/brassignment/slots_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -397,3 +398,46 @@
 		require.Zero(t, h.open.Load())
 	})
 }
+
+// gaugeValues returns the values of the gauge of running requests by service.
+func gaugeValues(t *testing.T, registry *prometheus.Registry) map[string]float64 {
+	t.Helper()
+	families, err := registry.Gather()
+	require.NoError(t, err)
+	values := map[string]float64{}
+	for _, f := range families {
+		if f.GetName() != "bergamotroad_server_running_requests" {
+			continue
+		}
+		for _, m := range f.GetMetric() {
+			values[m.GetLabel()[0].GetValue()] = m.GetGauge().GetValue()
+		}
+	}
+	return values
+}
+
+// The gauge shows the counts that the servers are chosen by, so that slots that are not
+// released are seen, and drops services that are gone.
+func TestGaugeShowsRunningRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v, group := newHistory(t.Context())
+		defer group.Stop()
+		registry := prometheus.NewPedanticRegistry()
+		registry.MustRegister(v.assigner.Collectors()...)
+		ctx, cancel := context.WithCancel(t.Context())
+		for range 2 {
+			go func() {
+				_, _ = v.assigner.Place(ctx, brplacement.NewQuery("1", services[0]), 0, func(choice brplacement.Choice) (brplacement.Outcome, VersionResult) {
+					<-ctx.Done()
+					return brplacement.NewOutcome(choice.Server(), brrequest.OutcomeCancelled, 0), VersionResult{}
+				})
+			}()
+		}
+		time.Sleep(2 * idlePeriod)
+		require.Equal(t, map[string]float64{"entry": 0, "lookup": 2}, gaugeValues(t, registry))
+		cancel()
+		require.NoError(t, v.assigner.Views().Send(&brfleet.View{}))
+		time.Sleep(2 * idlePeriod)
+		require.Empty(t, gaugeValues(t, registry))
+	})
+}
--- a/internal/service/brproxy/attempt.go
+++ b/internal/service/brproxy/attempt.go
@@ -168,6 +168,7 @@
 // send makes one attempt at the chosen server. It returns its result, its outcome at the
 // server and how it counts for the server's version.
 func (p *Proxy) send(ctx context.Context, j *job, choice brplacement.Choice) (attemptResult, brplacement.Outcome, brassignment.VersionResult) {
+	defer p.metrics.startAttempt(j.service)()
 	server := choice.Server()
 	j.choice = choice
 	j.tries++
--- a/internal/service/brproxy/metrics.go
+++ b/internal/service/brproxy/metrics.go
@@ -18,6 +18,7 @@
 	requests  *prometheus.CounterVec
 	durations *prometheus.HistogramVec
 	attempts  *prometheus.HistogramVec
+	running   *prometheus.GaugeVec
 }
 
 func newMetrics() metrics {
@@ -34,11 +35,22 @@
 			Name: "bergamotroad_attempt_duration_seconds",
 			Help: "Duration of one attempt at a backend server.", Buckets: durationBuckets,
 		}, []string{"outcome"}),
+		running: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "bergamotroad_attempts_in_progress",
+			Help: "Attempts at backend servers that are in progress, by service.",
+		}, []string{"service"}),
 	}
 }
 
 func (m metrics) collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.requests, m.durations, m.attempts}
+	return []prometheus.Collector{m.requests, m.durations, m.attempts, m.running}
+}
+
+// startAttempt counts an attempt as in progress until the returned function is called.
+func (m metrics) startAttempt(service string) func() {
+	running := m.running.WithLabelValues(service)
+	running.Inc()
+	return running.Dec
 }
 
 func (m metrics) observeAttempt(kind brrequest.OutcomeKind, duration time.Duration) {
