--- a/internal/duty/brratelimit/duty.go
+++ b/internal/duty/brratelimit/duty.go
@@ -73,8 +73,12 @@
 	limiters map[string]*brrate.Limiter
 }
 
-// Handle counts one change against the limit of its team.
+// Handle counts one change against the limit of its team, unless its caller has left: the
+// change is not made then.
 func (h *handler) Handle(_ context.Context, m message) {
+	if m.reply.IsAbandoned() {
+		return
+	}
 	limiter, ok := h.limiters[m.team]
 	if !ok {
 		limiter = brrate.New(h.limit(m.team), period)
--- a/internal/duty/brratelimit/duty_test.go
+++ b/internal/duty/brratelimit/duty_test.go
@@ -1,7 +1,9 @@
 package brratelimit_test
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -42,3 +44,30 @@
 	require.Zero(t, take("azul"))
 	require.Positive(t, take("azul"))
 }
+
+// Callers leave while their questions wait for the duty. Their changes are not made, so they
+// must not use up the team's rate.
+func TestChangesOfCallersThatLeftAreNotCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := brclock.NewSystem()
+		limiter := brratelimit.New(clock)
+		snapshot, err := brconfig.NewSnapshot().Apply(1, []brconfig.Change{
+			brconfig.Put(brconfig.NewTeam(brconfig.NewMeta("azul")).WithWritesPerMinute(2)),
+		})
+		require.NoError(t, err)
+		require.NoError(t, limiter.Snapshots().Send(snapshot))
+		ctx, cancel := context.WithCancel(t.Context())
+		for range 5 {
+			go func() { _, _ = limiter.Take(ctx, "azul") }()
+		}
+		synctest.Wait()
+		cancel()
+		synctest.Wait()
+		group := brduty.NewGroup(t.Context(), clock, discardObserver{})
+		group.Start(limiter.Duty())
+		defer group.Stop()
+		wait, err := limiter.Take(t.Context(), "azul")
+		require.NoError(t, err)
+		require.Zero(t, wait)
+	})
+}
