--- a/internal/core/brring/reply.go
+++ b/internal/core/brring/reply.go
@@ -26,7 +26,7 @@
 // gives something away with its answer takes it back then.
 func (r Reply[T]) Answer(answer T) bool { return r.ring.Send(answer) == nil }
 
-// IsAbandoned reports whether the sender no longer waits. It may stop to wait at any
+// IsAbandoned reports whether the sender no longer waits. It may stop waiting at any
 // time, so only the result of Answer says whether it received an answer.
 func (r Reply[T]) IsAbandoned() bool { return r.ring.Closed() }
 
--- a/internal/duty/brassignment/assigner.go
+++ b/internal/duty/brassignment/assigner.go
@@ -176,8 +176,8 @@
 	return a.assign(ctx, message{kind: kindRetry, query: query}, attempt)
 }
 
-// assign asks for a server and makes the attempt. If the caller stops to wait, the duty
-// learns so from its answer and keeps the slot.
+// assign asks for a server and makes the attempt. If the caller stops waiting, the duty
+// learns so from its answer and takes the slot back.
 func (a *Assigner) assign(ctx context.Context, m message, attempt Attempt) (Assignment, error) {
 	if a.open.Add(1) > maxOpen {
 		a.open.Add(-1)
--- a/internal/duty/brassignment/slots_test.go
+++ b/internal/duty/brassignment/slots_test.go
@@ -37,7 +37,6 @@
 	stepEnd
 	stepWait
 	stepView
-	stepKinds
 )
 
 // step is one event in the history of a VM.
@@ -252,7 +251,7 @@
 	})
 }
 
-// newUnreceived returns the duty's handler, with the message of a caller that stops to wait
+// newUnreceived returns the duty's handler, with the message of a caller that stops waiting
 // at the moment at which it is answered.
 func newUnreceived(t *testing.T) (*handler, message) {
 	clock := brclock.NewFake(time.Unix(1000, 0))
@@ -266,7 +265,7 @@
 	return h, message{query: query, maxWait: time.Second, reply: brring.NewReply(replies)}
 }
 
-// A caller stops to wait at the moment at which it is assigned a server. The slot must be
+// A caller stops waiting at the moment at which it is assigned a server. The slot must be
 // taken back, since no attempt will release it.
 func TestSlotIsTakenBackIfAssignmentIsNotReceived(t *testing.T) {
 	for name, kind := range map[string]kind{"place": kindPlace, "retry": kindRetry} {
@@ -351,7 +350,7 @@
 
 func (b blockingJournal) StateChange(string, ...any) { <-b.unblocked }
 
-// As many requests as there may be end, or stop to wait, while the duty takes no messages
+// As many requests as there may be end, or stop waiting, while the duty takes no messages
 // and its ring is full. A release that the ring rejects would leave a slot occupied.
 func TestReleasesAreDeliveredWhileRingIsFull(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
