--- a/internal/duty/brexchanger/duty.go
+++ b/internal/duty/brexchanger/duty.go
@@ -17,8 +17,10 @@
 
 	"bergamotroad.example/bergamotroad/internal/core/brclock"
 	"bergamotroad.example/bergamotroad/internal/core/brduty"
+	"bergamotroad.example/bergamotroad/internal/decide/brusage"
 	"bergamotroad.example/bergamotroad/internal/duty/braggregator"
 	"bergamotroad.example/bergamotroad/internal/duty/brreplicator"
+	"bergamotroad.example/bergamotroad/internal/duty/brusagecounter"
 	"bergamotroad.example/bergamotroad/internal/model/brfleet"
 	"bergamotroad.example/bergamotroad/internal/model/brstatus"
 )
@@ -31,6 +33,8 @@
 	exchangeTimeout = 300 * time.Millisecond
 	// skipTime is the time for which a VM that did not respond is skipped.
 	skipTime = 3 * time.Second
+	// usagePeriod is the time between two messages with the usage of this VM's region.
+	usagePeriod = 1200 * time.Millisecond
 )
 
 // Client sends exchanges to other VMs.
@@ -42,7 +46,8 @@
 
 // Exchanger is the handle of the duty for one other region.
 type Exchanger struct {
-	duty *brduty.Duty[struct{}, struct{}]
+	duty    *brduty.Duty[struct{}, struct{}]
+	handler *handler
 }
 
 // New returns the duty that exchanges with the named region.
@@ -51,12 +56,16 @@
 		clock: clock, self: self, region: region, replicator: replicator, aggregator: aggregator,
 		client: client, skippedUntil: map[string]time.Time{},
 	}
-	return &Exchanger{duty: brduty.New[struct{}, struct{}]("exchanging-"+region, h, clock, brduty.WithPeriod(exchangePeriod))}
+	return &Exchanger{handler: h, duty: brduty.New[struct{}, struct{}]("exchanging-"+region, h, clock, brduty.WithPeriod(exchangePeriod))}
 }
 
 // Duty returns the runner to be passed to a brduty.Group.
 func (e *Exchanger) Duty() brduty.Runner { return e.duty }
 
+// SetUsage makes the duty send the counts of a counter. It must be called before the duty
+// starts.
+func (e *Exchanger) SetUsage(counter *brusagecounter.Counter) { e.handler.counter = counter }
+
 type handler struct {
 	clock        brclock.Clock
 	self         brfleet.VM
@@ -65,6 +74,8 @@
 	aggregator   *braggregator.Aggregator
 	client       Client
 	skippedUntil map[string]time.Time
+	counter      *brusagecounter.Counter // nil if usage isn't metered
+	cursor       brusage.Cursor
 }
 
 // Handle does nothing: this duty receives no messages.
@@ -94,10 +105,21 @@
 func (h *handler) exchange(ctx context.Context, vm brfleet.VM) bool {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	region, status, err := h.client.Exchange(ctx, vm.PeerAddress(), h.self.Region(), h.aggregator.Summary().Region())
+	region, status, err := h.client.Exchange(ctx, vm.PeerAddress(), h.self.Region(), h.status(vm))
 	if err != nil {
+		h.cursor.Fail()
 		return false
 	}
+	h.cursor.Confirm(status.Usage().Run())
 	h.aggregator.ReportRegion(region, status)
 	return true
 }
+
+// status returns the status of this VM's region for a VM of the other one.
+func (h *handler) status(vm brfleet.VM) brstatus.Status {
+	region := h.aggregator.Summary().Region()
+	if h.counter == nil {
+		return region
+	}
+	return region.WithUsage(h.cursor.Next(h.clock.Now(), vm.PeerAddress(), h.counter.Snapshot(), usagePeriod))
+}
--- a/internal/duty/brsyncer/duty.go
+++ b/internal/duty/brsyncer/duty.go
@@ -20,9 +20,11 @@
 	"bergamotroad.example/bergamotroad/internal/core/brclock"
 	"bergamotroad.example/bergamotroad/internal/core/brduty"
 	"bergamotroad.example/bergamotroad/internal/decide/brsource"
+	"bergamotroad.example/bergamotroad/internal/decide/brusage"
 	"bergamotroad.example/bergamotroad/internal/duty/braggregator"
 	"bergamotroad.example/bergamotroad/internal/duty/brjournal"
 	"bergamotroad.example/bergamotroad/internal/duty/brreplicator"
+	"bergamotroad.example/bergamotroad/internal/duty/brusagecounter"
 	"bergamotroad.example/bergamotroad/internal/duty/brwatch"
 	"bergamotroad.example/bergamotroad/internal/model/brfleet"
 	"bergamotroad.example/bergamotroad/internal/model/brrecord"
@@ -48,6 +50,9 @@
 	maxOrdersAge  = 2300 * time.Millisecond
 	// searchPeriod is the time between two syncs while no fresh source is known.
 	searchPeriod = 100 * time.Millisecond
+	// usagePeriod is the time between two reports of usage. Counts that were not reported are
+	// lost with the VM; they are a small part of a window, and each report costs bytes.
+	usagePeriod = time.Second
 )
 
 // Client sends syncs to other VMs.
@@ -60,6 +65,7 @@
 // Syncer is the handle of the duty.
 type Syncer struct {
 	duty          *brduty.Duty[struct{}, struct{}]
+	handler       *handler
 	storeReadable *atomic.Bool
 	lender        *atomic.Pointer[brfleet.VM]
 }
@@ -73,6 +79,7 @@
 	}
 	return &Syncer{
 		duty:          brduty.New[struct{}, struct{}]("sourcing", h, clock, brduty.WithPeriod(checkPeriod)),
+		handler:       h,
 		storeReadable: &h.storeReadable,
 		lender:        &h.lender,
 	}
@@ -81,6 +88,10 @@
 // Duty returns the runner to be passed to a brduty.Group.
 func (s *Syncer) Duty() brduty.Runner { return s.duty }
 
+// SetUsage makes the duty report the counts of a counter. It must be called before the duty
+// starts.
+func (s *Syncer) SetUsage(counter *brusagecounter.Counter) { s.handler.counter = counter }
+
 // ReadsStore reports whether this VM itself reads the store successfully.
 func (s *Syncer) ReadsStore() bool { return s.storeReadable.Load() }
 
@@ -110,6 +121,8 @@
 	reading       bool
 	storeReadable atomic.Bool
 	lender        atomic.Pointer[brfleet.VM] // the VM that lends quota, or nil
+	counter       *brusagecounter.Counter    // nil if usage isn't metered
+	cursor        brusage.Cursor
 }
 
 // Handle does nothing: this duty receives no messages.
@@ -206,13 +219,15 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+syncTimeout)
 	defer cancel()
 	known := h.replicator.State().Revisions()
-	update, err := h.client.Sync(ctx, vm.PeerAddress(), h.self.Name(), h.self.Region(), known, wait, h.aggregator.Summary().Own())
+	update, err := h.client.Sync(ctx, vm.PeerAddress(), h.self.Name(), h.self.Region(), known, wait, h.report(vm))
 	now := h.clock.Now()
 	if err != nil {
+		h.cursor.Fail()
 		h.journal.StateChange("source lost", "source", vm.Name(), "error", err.Error())
 		h.recordLender(vm, false)
 		return brsource.Failed
 	}
+	h.cursor.Confirm(update.Fleet().Usage().Run())
 	h.recordLender(vm, update.IsLender())
 	for _, b := range update.Batches() {
 		h.replicator.Apply(b, now.Add(-b.Age()), vm.Name())
@@ -225,6 +240,15 @@
 	return brsource.Fresh
 }
 
+// report returns the status of this VM for another one.
+func (h *handler) report(vm brfleet.VM) brstatus.Status {
+	own := h.aggregator.Summary().Own()
+	if h.counter == nil {
+		return own
+	}
+	return own.WithUsage(h.cursor.Next(h.clock.Now(), vm.PeerAddress(), h.counter.Snapshot(), usagePeriod))
+}
+
 // recordLender records whether a VM lends quota. The recorded lender stays until it
 // reports otherwise, fails, or another VM takes its place.
 func (h *handler) recordLender(vm brfleet.VM, lends bool) {
--- a/internal/model/brstatus/status.go
+++ b/internal/model/brstatus/status.go
@@ -14,6 +14,7 @@
 	"slices"
 	"time"
 
+	"bergamotroad.example/bergamotroad/internal/model/brmeter"
 	"bergamotroad.example/bergamotroad/internal/model/brrequest"
 )
 
@@ -90,6 +91,7 @@
 	tallies  map[uint64]Tally   // by revision of the rollout's order
 	poison   []brrequest.PoisonNotice
 	stopping map[string]time.Duration // time since a VM announced its shutdown, by VM
+	usage    brmeter.Usage            // of one message; not part of sums
 }
 
 // New returns a status with the live and serving VMs, the demand in requests per
@@ -127,6 +129,16 @@
 // The map must not be modified.
 func (s Status) Stopping() map[string]time.Duration { return s.stopping }
 
+// WithUsage returns the status with the usage that its sender tells the receiver. It is part
+// of one message only: Merge leaves it out, since counts are merged by VM and run elsewhere.
+func (s Status) WithUsage(usage brmeter.Usage) Status {
+	s.usage = usage
+	return s
+}
+
+// Usage returns the usage that the sender of the status tells.
+func (s Status) Usage() brmeter.Usage { return s.usage }
+
 // Members returns the live and serving VMs in ascending order. The slice must not
 // be modified.
 func (s Status) Members() []string { return s.members }
--- a/internal/peer/brentry/sync.go
+++ b/internal/peer/brentry/sync.go
@@ -158,6 +158,7 @@
 	for _, notice := range status.Poison() {
 		message.Poison = append(message.Poison, encodeNotice(notice))
 	}
+	message.Usage = encodeUsage(status.Usage())
 	return message
 }
 
@@ -177,7 +178,8 @@
 	for _, m := range message.GetLeft() {
 		stopping[m.GetVm()] = time.Duration(m.GetAgeMilliseconds()) * time.Millisecond
 	}
-	return brstatus.New(message.GetMembers(), validDemands(message.GetDemands()), tallies).WithPoison(notices).WithStopping(stopping)
+	return brstatus.New(message.GetMembers(), validDemands(message.GetDemands()), tallies).WithPoison(notices).WithStopping(stopping).
+		WithUsage(decodeUsage(message.GetUsage()))
 }
 
 // validDemands drops demands that are no rates: sums with them would be useless on all VMs.
--- a/internal/service/brentryvm/adapter.go
+++ b/internal/service/brentryvm/adapter.go
@@ -6,6 +6,7 @@
 	"bergamotroad.example/bergamotroad/internal/core/brclock"
 	"bergamotroad.example/bergamotroad/internal/decide/brreplica"
 	"bergamotroad.example/bergamotroad/internal/duty/brreload"
+	"bergamotroad.example/bergamotroad/internal/peer/brbilling"
 	"bergamotroad.example/bergamotroad/internal/peer/brregistry"
 	"bergamotroad.example/bergamotroad/internal/service/brproxy"
 )
@@ -17,6 +18,8 @@
 	upstream brproxy.Upstream
 	handlers HandlerFactory
 	settings brreload.Source
+	leases   brregistry.LeaseTable
+	billing  brbilling.Platform
 }
 
 // HandlerFactory creates the HTTP handlers for the platform's callers and health checks.
@@ -34,3 +37,10 @@
 func NewAdapter(registry brregistry.Registry, decoder brreplica.Decoder, upstream brproxy.Upstream, handlers HandlerFactory, settings brreload.Source) Adapter {
 	return Adapter{registry: registry, decoder: decoder, upstream: upstream, handlers: handlers, settings: settings}
 }
+
+// WithBilling returns the adapter with the platform's usage metering, and the part of the store
+// that holds the lease under which one VM reports usage.
+func (a Adapter) WithBilling(leases brregistry.LeaseTable, billing brbilling.Platform) Adapter {
+	a.leases, a.billing = leases, billing
+	return a
+}
--- a/internal/service/brentryvm/config.go
+++ b/internal/service/brentryvm/config.go
@@ -1,6 +1,9 @@
 package brentryvm
 
-import "bergamotroad.example/bergamotroad/internal/model/brfleet"
+import (
+	"bergamotroad.example/bergamotroad/internal/model/brfleet"
+	"bergamotroad.example/bergamotroad/internal/model/brmeter"
+)
 
 // Config holds a VM's name and location, the addresses that it listens on and the
 // operators' settings. It is immutable.
@@ -13,6 +16,7 @@
 	healthChecks string
 	metrics      string
 	memory       int64
+	metering     brmeter.Terms
 }
 
 // NewConfig returns the config of a VM with the operators' settings and the region of
@@ -41,3 +45,10 @@
 	c.memory = bytes
 	return c
 }
+
+// WithMetering returns the config with the terms of usage metering; without it, usage is not
+// metered.
+func (c Config) WithMetering(terms brmeter.Terms) Config {
+	c.metering = terms
+	return c
+}
--- a/internal/service/brentryvm/stop.go
+++ b/internal/service/brentryvm/stop.go
@@ -34,6 +34,7 @@
 func (v *VM) stop(ctx context.Context) {
 	v.leaving.Store(true)
 	v.aggregator.Leave()
+	v.leaveUsage()
 	v.closeConns()
 	v.journal.Lifecycle("VM stops")
 	start := v.clock.Now()
--- a/internal/service/brentryvm/sync.go
+++ b/internal/service/brentryvm/sync.go
@@ -8,6 +8,7 @@
 
 	"bergamotroad.example/bergamotroad/internal/decide/brdiscovery"
 	"bergamotroad.example/bergamotroad/internal/model/brfleet"
+	"bergamotroad.example/bergamotroad/internal/model/brmeter"
 	"bergamotroad.example/bergamotroad/internal/model/brrecord"
 	"bergamotroad.example/bergamotroad/internal/model/brstatus"
 	"bergamotroad.example/bergamotroad/internal/model/brsync"
@@ -25,21 +26,40 @@
 // Sync stores the report of a VM. It waits for records that are newer than the known
 // revisions and returns them with the status of the fleet.
 func (v *VM) Sync(ctx context.Context, vm, region string, known brrecord.Revisions, wait time.Duration, report brstatus.Status) (brsync.Update, error) {
-	v.aggregator.Report(vm, region, report)
+	v.aggregator.Report(vm, region, report.WithUsage(brmeter.Usage{}))
+	v.mergeUsage(report, true)
 	batches, err := v.replicator.Await(ctx, known, wait)
 	if err != nil {
 		return brsync.Update{}, errors.Errorf("wait for new records: %w", err)
 	}
 	summary := v.aggregator.Summary()
-	return brsync.NewUpdate(batches, summary.Fleet(), v.clock.Now().Sub(summary.AsOf())).
+	return brsync.NewUpdate(batches, v.withRun(summary.Fleet()), v.clock.Now().Sub(summary.AsOf())).
 		WithReadsStore(v.syncer.ReadsStore()).
 		WithLender(summary.IsLeader()), nil
 }
 
 // Exchange stores the status of another region and returns that of this region.
 func (v *VM) Exchange(_ context.Context, region string, status brstatus.Status) (string, brstatus.Status, error) {
-	v.aggregator.ReportRegion(region, status)
-	return v.config.self.Region(), v.aggregator.Summary().Region(), nil
+	v.aggregator.ReportRegion(region, status.WithUsage(brmeter.Usage{}))
+	v.mergeUsage(status, false)
+	return v.config.self.Region(), v.withRun(v.aggregator.Summary().Region()), nil
+}
+
+// mergeUsage adds the usage in a message of another VM; direct means that it reports to this
+// one, which passes its counts on.
+func (v *VM) mergeUsage(status brstatus.Status, direct bool) {
+	if v.counter != nil {
+		v.counter.Merge(status.Usage(), direct)
+	}
+}
+
+// withRun returns a status for another VM with the run of this VM's process, by which the
+// other one knows whether this VM still has the usage that it sent.
+func (v *VM) withRun(status brstatus.Status) brstatus.Status {
+	if v.counter == nil {
+		return status
+	}
+	return status.WithUsage(brmeter.NewUsage(v.counter.Run(), nil))
 }
 
 // Borrow decides for another VM of the region, which has used up its own share of
--- a/internal/service/brentryvm/vm.go
+++ b/internal/service/brentryvm/vm.go
@@ -39,6 +39,8 @@
 	"bergamotroad.example/bergamotroad/internal/duty/brreplicator"
 	"bergamotroad.example/bergamotroad/internal/duty/brresult"
 	"bergamotroad.example/bergamotroad/internal/duty/brsyncer"
+	"bergamotroad.example/bergamotroad/internal/duty/brusagecounter"
+	"bergamotroad.example/bergamotroad/internal/duty/brusagereporter"
 	"bergamotroad.example/bergamotroad/internal/duty/brwatch"
 	"bergamotroad.example/bergamotroad/internal/model/brfleet"
 	"bergamotroad.example/bergamotroad/internal/model/brrecord"
@@ -67,6 +69,8 @@
 	enforcer   *brallowance.Enforcer
 	client     *brentry.SyncClient
 	reloader   *brreload.Reloader
+	counter    *brusagecounter.Counter   // nil if usage isn't metered
+	reporter   *brusagereporter.Reporter // nil if usage isn't metered
 	bounds     atomic.Pointer[brfleet.Bounds]
 	duties     []brduty.Runner
 	servers    []*http.Server
@@ -88,6 +92,7 @@
 	v.registrar = brregistration.New(clock, config.self, adapter.registry, v.replicator, v.journal)
 	v.reloader = brreload.New(clock, adapter.settings, v.setBounds, v.journal)
 	v.duties = []brduty.Runner{v.replicator.Duty(), v.aggregator.Duty(), v.registrar.Duty(), v.reloader.Duty()}
+	v.addUsage(adapter)
 	v.addSyncDuties(adapter.registry)
 	proxy := v.addProxy(adapter)
 	if err := v.listen(adapter.handlers, proxy); err != nil {
@@ -107,9 +112,12 @@
 	}
 	v.client = brentry.NewSyncClient(brentry.NewPlainConnector())
 	v.syncer = brsyncer.New(v.clock, v.config.self, v.config.seeds, v.replicator, v.aggregator, watchers, v.client, v.journal)
+	v.syncer.SetUsage(v.counter)
 	v.duties = append(v.duties, v.syncer.Duty())
 	for _, region := range otherRegions(v.config) {
-		v.duties = append(v.duties, brexchanger.New(v.clock, v.config.self, region, v.replicator, v.aggregator, v.client).Duty())
+		exchanger := brexchanger.New(v.clock, v.config.self, region, v.replicator, v.aggregator, v.client)
+		exchanger.SetUsage(v.counter)
+		v.duties = append(v.duties, exchanger.Duty())
 	}
 }
 
@@ -128,6 +136,9 @@
 	v.duties = append(v.duties, detector.Duty(), assigner.Duty(), v.enforcer.Duty(), recorder.Duty(), controller.Duty())
 	limiter := brquotalimiter.New(v.clock, v.config.self.Name(), v.enforcer, v.syncer, v.client)
 	proxy := brproxy.New(v.clock, v.replicator, limiter, assigner, detector, adapter.upstream, v.journal)
+	if v.counter != nil {
+		proxy.SetUsage(v.counter)
+	}
 	v.collectors = append(v.collectors, proxy.Collectors()...)
 	return proxy
 }
--- a/internal/service/brproxy/proxy.go
+++ b/internal/service/brproxy/proxy.go
@@ -74,6 +74,13 @@
 	ReportCompletion(fingerprint brrequest.Fingerprint)
 }
 
+// UsageCounter counts requests for usage metering.
+type UsageCounter interface {
+	// Count counts a request of an organisation that was sent to a server at a time and ran,
+	// or may have run.
+	Count(organisation string, at time.Time)
+}
+
 // Journal logs the decisions about requests.
 type Journal interface {
 	// Decision logs the outcome of a request that was answered.
@@ -101,6 +108,7 @@
 	upstream Upstream
 	journal  Journal
 	metrics  metrics
+	usage    UsageCounter // nil if usage isn't metered
 }
 
 // New returns the proxy of a VM.
@@ -111,6 +119,10 @@
 	}
 }
 
+// SetUsage makes the proxy count the requests that ran. It must be called before the first
+// request.
+func (p *Proxy) SetUsage(counter UsageCounter) { p.usage = counter }
+
 // Collectors returns the proxy's metrics.
 func (p *Proxy) Collectors() []prometheus.Collector { return p.metrics.collectors() }
 
