--- a/internal/decide/brusage/holder.go
+++ b/internal/decide/brusage/holder.go
@@ -165,6 +165,7 @@
 	end            time.Duration // of the lease
 	granted        time.Duration // start of the latest write that extended the lease
 	barredUntil    time.Duration
+	releasing      bool // a write that gives the lease up may have been, or may be, carried out
 
 	storeCall *StoreCall
 	storeFrom time.Duration // no call to the store before
@@ -194,6 +195,7 @@
 	call, ok := h.chooseStoreCall(now, view)
 	if ok {
 		h.storeCall = &call
+		h.releasing = h.releasing || call.lease.Released()
 	}
 	return call, ok
 }
@@ -310,7 +312,7 @@
 	switch outcome {
 	case Applied:
 		h.row, h.unchangedSince, h.readAt = brmeter.NewRow(call.lease, version), now.steady, now.steady
-		h.known = version > 0
+		h.known, h.releasing = version > 0, false
 		h.stats.skipped += call.skipped
 		h.setHolds(now, !call.lease.Released())
 		if h.holds {
@@ -318,7 +320,7 @@
 		}
 		h.forgetAccepted()
 	case Conflict:
-		h.known, h.end = false, 0
+		h.known, h.releasing, h.end = false, false, 0
 	case NotApplied:
 		h.storeFrom = now.steady + storeRetry
 	case Unknown:
@@ -363,7 +365,7 @@
 // NextSend returns the call to the platform to make now, if any. Its outcome has to be
 // reported by ObserveSend.
 func (h *Holder[P]) NextSend(now Instant) (Send, bool) {
-	if h.sending != nil || now.steady < h.sendFrom || !h.MayAct(now.steady+fraction(h.terms.Lease(), minSendFraction)) {
+	if h.sending != nil || h.releasing || now.steady < h.sendFrom || !h.MayAct(now.steady+fraction(h.terms.Lease(), minSendFraction)) {
 		return Send{}, false
 	}
 	report, ok := h.mostUrgent(now)
