--- a/internal/duty/brexchanger/duty.go
+++ b/internal/duty/brexchanger/duty.go
@@ -22,6 +22,7 @@
 	"bergamotroad.example/bergamotroad/internal/duty/brreplicator"
 	"bergamotroad.example/bergamotroad/internal/duty/brusagecounter"
 	"bergamotroad.example/bergamotroad/internal/model/brfleet"
+	"bergamotroad.example/bergamotroad/internal/model/brmeter"
 	"bergamotroad.example/bergamotroad/internal/model/brstatus"
 )
 
@@ -110,8 +111,11 @@
 		h.cursor.Fail()
 		return false
 	}
-	h.cursor.Confirm(status.Usage().Run())
-	h.aggregator.ReportRegion(region, status)
+	if h.counter != nil {
+		h.cursor.Confirm(status.Usage().Run())
+		h.counter.Merge(status.Usage(), false)
+	}
+	h.aggregator.ReportRegion(region, status.WithUsage(brmeter.Usage{}))
 	return true
 }
 
@@ -121,5 +125,5 @@
 	if h.counter == nil {
 		return region
 	}
-	return region.WithUsage(h.cursor.Next(h.clock.Now(), vm.PeerAddress(), h.counter.Snapshot(), usagePeriod))
+	return region.WithUsage(h.counter.Report(&h.cursor, vm.PeerAddress(), usagePeriod))
 }
--- a/internal/duty/brsyncer/duty.go
+++ b/internal/duty/brsyncer/duty.go
@@ -27,6 +27,7 @@
 	"bergamotroad.example/bergamotroad/internal/duty/brusagecounter"
 	"bergamotroad.example/bergamotroad/internal/duty/brwatch"
 	"bergamotroad.example/bergamotroad/internal/model/brfleet"
+	"bergamotroad.example/bergamotroad/internal/model/brmeter"
 	"bergamotroad.example/bergamotroad/internal/model/brrecord"
 	"bergamotroad.example/bergamotroad/internal/model/brstatus"
 	"bergamotroad.example/bergamotroad/internal/model/brsync"
@@ -227,13 +228,16 @@
 		h.recordLender(vm, false)
 		return brsource.Failed
 	}
-	h.cursor.Confirm(update.Fleet().Usage().Run())
+	if h.counter != nil {
+		h.cursor.Confirm(update.Fleet().Usage().Run())
+		h.counter.Merge(update.Fleet().Usage(), false)
+	}
 	h.recordLender(vm, update.IsLender())
 	for _, b := range update.Batches() {
 		h.replicator.Apply(b, now.Add(-b.Age()), vm.Name())
 	}
 	h.replicator.RecordPeer(now)
-	h.aggregator.SetFleet(update.Fleet(), now.Add(-update.FleetAge()))
+	h.aggregator.SetFleet(update.Fleet().WithUsage(brmeter.Usage{}), now.Add(-update.FleetAge()))
 	if !update.ReadsStore() || !isFresh(update.Batches()) {
 		return brsource.Stale
 	}
@@ -246,7 +250,7 @@
 	if h.counter == nil {
 		return own
 	}
-	return own.WithUsage(h.cursor.Next(h.clock.Now(), vm.PeerAddress(), h.counter.Snapshot(), usagePeriod))
+	return own.WithUsage(h.counter.Report(&h.cursor, vm.PeerAddress(), usagePeriod))
 }
 
 // recordLender records whether a VM lends quota. The recorded lender stays until it
--- a/internal/duty/brusagereporter/duty.go
+++ b/internal/duty/brusagereporter/duty.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	reporter := brusagereporter.New(clock, steady, terms, "vm-1", counter, aggregator, table, platform, journal)
+//	reporter := brusagereporter.New(clock, steady, terms, "vm-1", counter, isLeader, table, platform, journal)
 //	group.Start(reporter.Duties()...)
 //	reporter.Leave() // on graceful shutdown
 package brusagereporter
@@ -19,7 +19,6 @@
 	"bergamotroad.example/bergamotroad/internal/core/brclock"
 	"bergamotroad.example/bergamotroad/internal/core/brduty"
 	"bergamotroad.example/bergamotroad/internal/decide/brusage"
-	"bergamotroad.example/bergamotroad/internal/duty/braggregator"
 	"bergamotroad.example/bergamotroad/internal/duty/brjournal"
 	"bergamotroad.example/bergamotroad/internal/duty/brusagecounter"
 	"bergamotroad.example/bergamotroad/internal/model/brmeter"
@@ -57,12 +56,6 @@
 	err     error
 }
 
-// Leadership tells whether other VMs report to this one.
-type Leadership interface {
-	// Summary returns the latest status of the fleet.
-	Summary() *braggregator.Summary
-}
-
 // Reporter is the handle of the duties.
 type Reporter struct {
 	duty    *brduty.Duty[message, struct{}]
@@ -71,9 +64,10 @@
 	handler *handler
 }
 
-// New returns the duties of a VM in one run of its process.
-func New(clock brclock.Clock, steady brclock.Steady, terms brmeter.Terms, vm string, counter *brusagecounter.Counter, leadership Leadership, table brregistry.LeaseTable, platform brbilling.Platform, journal *brjournal.Journal) *Reporter {
-	h := &handler{clock: clock, steady: steady, terms: terms, vm: vm, run: counter.Run(), counter: counter, leadership: leadership, journal: journal}
+// New returns the duties of a VM in one run of its process; isLeader reports whether other VMs
+// report to this one.
+func New(clock brclock.Clock, steady brclock.Steady, terms brmeter.Terms, vm string, counter *brusagecounter.Counter, isLeader func() bool, table brregistry.LeaseTable, platform brbilling.Platform, journal *brjournal.Journal) *Reporter {
+	h := &handler{steady: steady, terms: terms, vm: vm, run: counter.Run(), counter: counter, isLeader: isLeader, journal: journal}
 	h.holder = brusage.NewHolder[brusage.Fenced](terms, vm, counter.Run(), h.now())
 	h.leadsFrom = h.steady.Reading()
 	r := &Reporter{handler: h}
@@ -102,18 +96,16 @@
 
 // handler owns the state of the lease.
 type handler struct {
-	clock      brclock.Clock
 	steady     brclock.Steady
 	terms      brmeter.Terms
 	vm         string
 	run        string
 	counter    *brusagecounter.Counter
-	leadership Leadership
+	isLeader   func() bool
 	journal    *brjournal.Journal
 	storeCalls func(brusage.StoreCall) error
 	sends      func(sendCommand) error
 
-	corrector  brusage.Corrector
 	holder     *brusage.Holder[brusage.Fenced]
 	leads      bool
 	leadsFrom  time.Duration
@@ -123,9 +115,7 @@
 	status     atomic.Pointer[status]
 }
 
-func (h *handler) now() brusage.Instant {
-	return h.corrector.Correct(h.steady.Reading(), h.clock.Now())
-}
+func (h *handler) now() brusage.Instant { return h.counter.Now() }
 
 // mayAct reports whether the lease lasts. It is called by the duty that sends.
 func (h *handler) mayAct() bool { return h.steady.Reading() < time.Duration(h.end.Load()) }
@@ -180,7 +170,7 @@
 }
 
 func (h *handler) view(now brusage.Instant) brusage.View {
-	if leads := h.leadership.Summary().IsLeader(); leads != h.leads {
+	if leads := h.isLeader(); leads != h.leads {
 		h.leads, h.leadsFrom = leads, now.Steady()
 	}
 	view := brusage.NewView(h.counter.Snapshot(), h.leads, h.leadsFrom)
--- a/internal/model/brmeter/meter.go
+++ b/internal/model/brmeter/meter.go
@@ -102,12 +102,27 @@
 type Usage struct {
 	run    string
 	counts []Counts
+	own    time.Time
+	fleet  time.Time
 }
 
 // NewUsage returns the usage that a run of a VM's process tells. The slice must not be
 // modified afterwards.
 func NewUsage(run string, counts []Counts) Usage { return Usage{run: run, counts: counts} }
 
+// WithTimes returns the usage with the time of day at its sending, by the sender's own clock and
+// as the fleet agrees on; the zero time stands for one that is not told.
+func (u Usage) WithTimes(own, fleet time.Time) Usage {
+	u.own, u.fleet = own, fleet
+	return u
+}
+
+// OwnTime returns the time of day by the sender's own clock, or the zero time.
+func (u Usage) OwnTime() time.Time { return u.own }
+
+// FleetTime returns the time of day that the fleet agrees on, or the zero time.
+func (u Usage) FleetTime() time.Time { return u.fleet }
+
 // Run returns the identifier of the sender's run, or "" if it meters no usage.
 func (u Usage) Run() string { return u.run }
 
--- a/internal/peer/brbilling/billing.go
+++ b/internal/peer/brbilling/billing.go
@@ -34,7 +34,7 @@
 }
 
 // NewCall returns the call of a holder with its fencing token. The function mayAct is called
-// immediately before the first byte is sent, and reports whether the lease still lasts: a
+// immediately before anything is sent, and reports whether the lease still lasts: a
 // process may have been suspended, or connecting may have taken long.
 func NewCall(holder string, token uint64, report brmeter.Report, mayAct func() bool) Call {
 	return Call{holder: holder, token: token, report: report, mayAct: mayAct}
--- a/internal/peer/brentry/usage.go
+++ b/internal/peer/brentry/usage.go
@@ -1,6 +1,8 @@
 package brentry
 
 import (
+	"time"
+
 	"bergamotroad.example/bergamotroad/internal/model/brmeter"
 	"bergamotroad.example/bergamotroad/internal/peer/brentrypb"
 )
@@ -11,7 +13,11 @@
 	if usage.Run() == "" {
 		return nil
 	}
-	message := &brentrypb.UsageMessage{Run: usage.Run()}
+	message := &brentrypb.UsageMessage{
+		Run:               usage.Run(),
+		OwnMilliseconds:   encodeTime(usage.OwnTime()),
+		FleetMilliseconds: encodeTime(usage.FleetTime()),
+	}
 	positions := map[string]uint32{}
 	for _, c := range usage.Counts() {
 		counts := &brentrypb.UsageCounts{Vm: c.VM(), Run: c.Run(), Window: c.Window(), Closed: c.Closed()}
@@ -47,5 +53,21 @@
 		}
 		list = append(list, brmeter.NewCounts(c.GetVm(), c.GetRun(), c.GetWindow(), c.GetClosed(), counts))
 	}
-	return brmeter.NewUsage(message.GetRun(), list)
+	return brmeter.NewUsage(message.GetRun(), list).
+		WithTimes(decodeTime(message.GetOwnMilliseconds()), decodeTime(message.GetFleetMilliseconds()))
+}
+
+// encodeTime encodes the zero time as 0.
+func encodeTime(at time.Time) int64 {
+	if at.IsZero() {
+		return 0
+	}
+	return at.UnixMilli()
+}
+
+func decodeTime(milliseconds int64) time.Time {
+	if milliseconds == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(milliseconds)
 }
--- a/internal/service/brentryvm/stop.go
+++ b/internal/service/brentryvm/stop.go
@@ -50,6 +50,9 @@
 	}
 	group.Wait()
 	close(failures)
+	if v.Bounds().Grace()-v.clock.Now().Sub(start) >= flushUsageTime+flushTimeout {
+		v.flushUsage()
+	}
 	aborted := 0
 	for err := range failures {
 		if err != nil {
--- a/internal/service/brentryvm/sync.go
+++ b/internal/service/brentryvm/sync.go
@@ -33,7 +33,7 @@
 		return brsync.Update{}, errors.Errorf("wait for new records: %w", err)
 	}
 	summary := v.aggregator.Summary()
-	return brsync.NewUpdate(batches, v.withRun(summary.Fleet()), v.clock.Now().Sub(summary.AsOf())).
+	return brsync.NewUpdate(batches, v.acknowledged(summary.Fleet()), v.clock.Now().Sub(summary.AsOf())).
 		WithReadsStore(v.syncer.ReadsStore()).
 		WithLender(summary.IsLeader()), nil
 }
@@ -42,7 +42,7 @@
 func (v *VM) Exchange(_ context.Context, region string, status brstatus.Status) (string, brstatus.Status, error) {
 	v.aggregator.ReportRegion(region, status.WithUsage(brmeter.Usage{}))
 	v.mergeUsage(status, false)
-	return v.config.self.Region(), v.withRun(v.aggregator.Summary().Region()), nil
+	return v.config.self.Region(), v.acknowledged(v.aggregator.Summary().Region()), nil
 }
 
 // mergeUsage adds the usage in a message of another VM; direct means that it reports to this
@@ -53,13 +53,13 @@
 	}
 }
 
-// withRun returns a status for another VM with the run of this VM's process, by which the
-// other one knows whether this VM still has the usage that it sent.
-func (v *VM) withRun(status brstatus.Status) brstatus.Status {
+// acknowledged returns a status for the response to another VM, which tells that its usage has
+// arrived.
+func (v *VM) acknowledged(status brstatus.Status) brstatus.Status {
 	if v.counter == nil {
 		return status
 	}
-	return status.WithUsage(brmeter.NewUsage(v.counter.Run(), nil))
+	return status.WithUsage(v.counter.Acknowledgement())
 }
 
 // Borrow decides for another VM of the region, which has used up its own share of
--- a/internal/service/brproxy/attempt.go
+++ b/internal/service/brproxy/attempt.go
@@ -168,8 +168,9 @@
 	j.tries++
 	j.query = j.query.Excluding(server.ID())
 	sent := p.clock.Now()
+	count := p.startCount(j, sent)
 	response, report, err := p.upstream.Send(ctx, server, j.request, j.organisation.Name(), j.deadline.Sub(sent), j.newCall())
-	p.countUsage(j, sent, err)
+	count(err)
 	attempt, kind := readOutcome(ctx, j, response, err)
 	duration := p.clock.Now().Sub(sent)
 	if attempt.result.fate != brrequest.FateNotRun {
@@ -180,15 +181,6 @@
 	return attempt
 }
 
-// countUsage counts an attempt that ran or may have run for its organisation. It is called as
-// soon as that is known, before the response's body is read.
-func (p *Proxy) countUsage(j *job, sent time.Time, err error) {
-	if p.usage == nil || j.organisation.Name() == "" || brbackend.IsErrShed(err) || brbackend.IsErrNotSent(err) {
-		return
-	}
-	p.usage.Count(j.organisation.Name(), sent)
-}
-
 func (p *Proxy) recordOutcome(ctx context.Context, j *job, server brfleet.Server, kind brrequest.OutcomeKind, duration time.Duration, report brfleet.ServerReport) {
 	versionResult := brassignment.VersionResult{}
 	slow := j.route.TargetLatency() > 0 && duration > slowFactor*j.route.TargetLatency()
--- a/internal/service/brproxy/proxy.go
+++ b/internal/service/brproxy/proxy.go
@@ -74,13 +74,6 @@
 	ReportCompletion(fingerprint brrequest.Fingerprint)
 }
 
-// UsageCounter counts requests for usage metering.
-type UsageCounter interface {
-	// Count counts a request of an organisation that was sent to a server at a time and ran,
-	// or may have run.
-	Count(organisation string, at time.Time)
-}
-
 // Journal logs the decisions about requests.
 type Journal interface {
 	// Decision logs the outcome of a request that was answered.
