--- a/internal/duty/brusagereporter/duty.go
+++ b/internal/duty/brusagereporter/duty.go
@@ -184,16 +184,16 @@
 // logCall logs the first of consecutive failed calls of a kind, and the first success after
 // them, so that an outage costs two lines.
 func (h *handler) logCall(m message) {
-	call := map[kind]string{kindRead: "usage lease read", kindWritten: "usage lease written", kindSent: "usage reported"}[m.kind]
+	call := map[kind]string{kindRead: "usage lease read", kindWritten: "usage lease write", kindSent: "usage report"}[m.kind]
 	failed := m.err != nil && m.outcome != brusage.Conflict
 	if call == "" || failed == h.failing[m.kind] {
 		return
 	}
 	h.failing[m.kind] = failed
 	if failed {
-		h.journal.StateChange("not "+call, "error", m.err.Error())
+		h.journal.StateChange(call+" failed", "error", m.err.Error())
 	} else {
-		h.journal.StateChange(call + " again")
+		h.journal.StateChange(call + " succeeded again")
 	}
 }
 
