--- a/internal/decide/brusage/holder.go
+++ b/internal/decide/brusage/holder.go
@@ -173,7 +173,7 @@
 	end            time.Duration // of the lease
 	granted        time.Duration // start of the latest write that extended the lease
 	barredUntil    time.Duration
-	alone          bool  // this run was isolated when it acquired the lease
+	alone          bool  // this run has been isolated since it acquired the lease
 	seenBefore     int64 // the window in which the run that held the lease before wrote last
 	releasing      bool  // a write that gives the lease up may have been, or may be, carried out
 
@@ -184,6 +184,9 @@
 	sendFrom time.Duration
 	backoff  time.Duration
 	accepted map[int64]bool
+	// unansweredAt is when the latest call without a response ended. It may arrive a moment later,
+	// so the lease isn't given up within this time.
+	unansweredAt time.Duration
 
 	stats Stats
 }
@@ -238,10 +241,10 @@
 		return false
 	}
 	free := h.unchangedSince + h.terms.Lease()
-	if h.isIsolated(now, view) {
-		return now.steady >= free+fraction(h.terms.Lease(), isolatedFraction)
+	if h.row.Version() > 0 && !h.row.Lease().Released() && now.steady < free {
+		return false
 	}
-	return h.row.Version() == 0 || h.row.Lease().Released() || now.steady >= free
+	return now.steady >= free+fraction(h.terms.Lease(), isolatedFraction) || !h.isIsolated(now, view)
 }
 
 // isIsolated reports whether this run lacks the counts of most VMs for the latest window that
@@ -276,9 +279,10 @@
 func (h *Holder[P]) chooseRenewal(now Instant, view View) (StoreCall, bool) {
 	call := StoreCall{write: true, lease: h.row.Lease().WithSeen(h.terms.Number(now.wall)), expected: h.row.Version()}
 	fixed := h.fixWindows(&call, now, view)
-	leaves := view.stopping || !view.leads && now.steady >= view.leadsFrom+abdicationTime ||
-		!h.alone && h.isIsolated(now, view)
-	if leaves && h.sending == nil {
+	isolated := h.isIsolated(now, view)
+	leaves := view.stopping || !view.leads && now.steady >= view.leadsFrom+abdicationTime || isolated && !h.alone
+	h.alone = h.alone && isolated
+	if leaves && h.sending == nil && now.steady >= h.unansweredAt+h.terms.Lease()/guardDivisor {
 		call.lease = call.lease.WithReleased()
 	}
 	if !fixed && !call.lease.Released() && now.steady < h.granted+fraction(h.terms.Lease(), renewalFraction) {
@@ -438,6 +442,9 @@
 		}
 		return
 	}
+	if outcome == Unknown {
+		h.unansweredAt = now.steady
+	}
 	h.backoff = min(max(2*h.backoff, sendRetry), maxSendRetry)
 	h.sendFrom = now.steady + h.backoff
 }
--- a/internal/duty/brusagecounter/duty_test.go
+++ b/internal/duty/brusagecounter/duty_test.go
@@ -34,7 +34,7 @@
 
 func (observer) DutyStalled(string, int) {}
 
-func (observer) DutyPanicked(name string, value any, _ []byte) { panic(name) }
+func (observer) DutyPanicked(name string, _ any, _ []byte) { panic(name) }
 
 // vm is a VM that counts.
 type vm struct {
