--- a/internal/service/brproxy/attempt.go
+++ b/internal/service/brproxy/attempt.go
@@ -174,7 +174,9 @@
 	j.tries++
 	j.query = j.query.Excluding(server.ID())
 	sent := p.clock.Now()
+	count := p.startCount(j, sent)
 	response, report, err := p.upstream.Send(ctx, server, j.request, j.organisation.Name(), j.deadline.Sub(sent), j.newCall())
+	count(err)
 	attempt, kind := readOutcome(ctx, j, response, err)
 	duration := p.clock.Now().Sub(sent)
 	if attempt.result.fate != brrequest.FateNotRun {
--- a/internal/service/brproxy/proxy.go
+++ b/internal/service/brproxy/proxy.go
@@ -100,6 +100,7 @@
 	upstream Upstream
 	journal  Journal
 	metrics  metrics
+	usage    UsageCounter // nil if usage isn't metered
 }
 
 // New returns the proxy of a VM.
@@ -110,6 +111,10 @@
 	}
 }
 
+// SetUsage makes the proxy count the requests that ran. It must be called before the first
+// request.
+func (p *Proxy) SetUsage(counter UsageCounter) { p.usage = counter }
+
 // Collectors returns the proxy's metrics.
 func (p *Proxy) Collectors() []prometheus.Collector { return p.metrics.collectors() }
 
