--- a/internal/decide/brplacement/load_test.go
+++ b/internal/decide/brplacement/load_test.go
@@ -42,6 +42,7 @@
 	retried  int // answered after a retry that followed a refusal, so always late
 	refused  int
 	misses   int
+	onPlaced func(vm *brplacement.Placer, choice brplacement.Choice) // may be nil
 }
 
 type loadServer struct {
@@ -99,6 +100,9 @@
 	choice, ok := vm.Pick(f.now, query)
 	switch {
 	case ok:
+		if f.onPlaced != nil {
+			f.onPlaced(vm, choice)
+		}
 		id := choice.Server().ID()
 		f.after(loadNetworkDelay, func() { f.arrive(vm, id, object, sent) })
 	case f.now.Before(until):
