--- a/internal/decide/braffinity/selector.go
+++ b/internal/decide/braffinity/selector.go
@@ -179,6 +179,16 @@
 	return order
 }
 
+// Key returns a hash of an object and of the group and the regions of a pool, within which
+// the object has one first server.
+func (s *Selector[S, P]) Key(object string, pool *Pool[S]) uint64 {
+	key := mix(xxhash.Sum64String(object), xxhash.Sum64String(pool.group.service)) ^ pool.regions.identity()
+	if pool.group.target {
+		return ^key
+	}
+	return key
+}
+
 // rank puts the servers with the highest scores into s.top, and returns the best server
 // in the VM's region and the best one elsewhere.
 func (s *Selector[S, P]) rank(hash uint64, pool *Pool[S], limit int) (own, others ranked[S]) {
--- a/internal/decide/brplacement/placer.go
+++ b/internal/decide/brplacement/placer.go
@@ -58,6 +58,7 @@
 	backoff   *brbackoff.Tracker
 	returns   returns
 	selector  *braffinity.Selector[*server, braffinity.Weighted]
+	firsts    *braffinity.Tracker
 }
 
 // service holds the servers of one service.
@@ -80,6 +81,7 @@
 		backoff:   brbackoff.New(vm),
 		returns:   newReturns(),
 		selector:  braffinity.NewSelector[*server, braffinity.Weighted](region),
+		firsts:    braffinity.NewTracker(),
 	}
 }
 
@@ -125,7 +127,7 @@
 		if ok {
 			p.recordCrashes(now, s)
 		}
-		s = &server{registration: registration}
+		s = &server{registration: registration, listedAt: now}
 	}
 	if remaining := registration.ColdRemaining(); remaining > 0 && (!ok || s.registration.ColdRemaining() != remaining || s.coldUntil.IsZero()) {
 		s.coldUntil = now.Add(remaining)
@@ -200,6 +202,7 @@
 	}
 	utilisation := p.utilisation(now, s)
 	near := p.selector.Order(query.affinity(), pool, spread(utilisation))
+	p.recordFirst(now, query, pool, near[0])
 	for _, rule := range placementRules {
 		for i, srv := range near {
 			if rule.applies(now, query, i, srv) && p.hasCapacity(now, s, srv, rule.maxQueue) {
--- a/internal/decide/brplacement/server.go
+++ b/internal/decide/brplacement/server.go
@@ -45,7 +45,8 @@
 type server struct {
 	registration brfleet.Server
 	node         braffinity.Node
-	running      int // this VM's running requests
+	listedAt     time.Time // when this run of the server was listed first
+	running      int       // this VM's running requests
 	peerLoad     peerLoad
 	pausedUntil  time.Time
 	failures     int // consecutive
--- a/internal/duty/brassignment/assigner.go
+++ b/internal/duty/brassignment/assigner.go
@@ -120,6 +120,7 @@
 	duty    *brduty.Duty[message, *brfleet.View]
 	answers *brring.ReplyPool[Assignment]
 	notices *prometheus.CounterVec
+	moves   *prometheus.CounterVec
 }
 
 // New returns the duty of a VM.
@@ -128,22 +129,26 @@
 		Name: "bergamotroad_server_notices_total",
 		Help: "Responses by which a server said that it shuts down (leaving), or for how long it wants no requests (quiet).",
 	}, []string{"notice"})
+	moves := newMoveReporter(journal)
 	h := &handler{
 		clock: clock, placer: brplacement.New(self.Name(), self.Region()), retryBudget: brretry.NewBudget(),
 		aggregator: aggregator, detector: detector,
 		view: &brfleet.View{}, tallies: map[uint64]brstatus.Tally{},
-		journal: journal, notices: notices,
+		journal: journal, notices: notices, moves: moves,
 	}
 	return &Assigner{
 		duty: brduty.New[message, *brfleet.View]("placing", h, clock,
 			brduty.WithCapacity(queueCapacity), brduty.WithReserve(queueReserve), brduty.WithPeriod(idlePeriod)),
 		answers: brring.NewReplyPool[Assignment](),
 		notices: notices,
+		moves:   moves.total,
 	}
 }
 
 // Collectors returns the duty's metrics.
-func (a *Assigner) Collectors() []prometheus.Collector { return []prometheus.Collector{a.notices} }
+func (a *Assigner) Collectors() []prometheus.Collector {
+	return []prometheus.Collector{a.notices, a.moves}
+}
 
 // Duty returns the duty for a group to start.
 func (a *Assigner) Duty() brduty.Runner { return a.duty }
--- a/internal/duty/brassignment/handler.go
+++ b/internal/duty/brassignment/handler.go
@@ -30,6 +30,7 @@
 	tallies     map[uint64]brstatus.Tally
 	journal     Journal
 	notices     *prometheus.CounterVec
+	moves       *moveReporter
 }
 
 // Handle processes one message.
@@ -63,6 +64,7 @@
 // Tick tries to assign the queued requests to servers and answers those whose wait
 // has expired.
 func (h *handler) Tick(_ context.Context, now time.Time) {
+	h.moves.report(now, h.placer.TakeMoves())
 	h.serve(now)
 	for _, reply := range h.queue.Expire(now) {
 		reply.Answer(Assignment{hasCandidates: true, waiting: h.queue.Len()})
