--- a/internal/command/brcommand/check.go
+++ b/internal/command/brcommand/check.go
@@ -7,9 +7,9 @@
 )
 
 func newCheck() *cobra.Command {
-	return &cobra.Command{
+	command := &cobra.Command{
 		Use:   "check SETTINGS",
-		Short: "Validate a settings file without starting a VM",
+		Short: "Validate a settings file without starting a VM, or a configuration",
 		Args:  cobra.ExactArgs(1),
 		RunE: func(command *cobra.Command, arguments []string) error {
 			if _, err := brsettings.Load(arguments[0]); err != nil {
@@ -19,4 +19,6 @@
 			return nil
 		},
 	}
+	command.AddCommand(newCheckConfiguration())
+	return command
 }
--- a/internal/command/brcommand/exit.go
+++ b/internal/command/brcommand/exit.go
@@ -1,6 +1,10 @@
 package brcommand
 
-import "bergamotroad.example/bergamotroad/internal/peer/bradmin"
+import (
+	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/peer/bradmin"
+)
 
 // Exit codes of the program.
 const (
@@ -29,7 +33,7 @@
 		return exitUnavailable
 	case bradmin.IsErrNotExist(err):
 		return exitNotExist
-	case bradmin.IsErrRefused(err):
+	case bradmin.IsErrRefused(err), errors.Is(err, errInvalidConfiguration):
 		return exitRefused
 	default:
 		return exitFailure
--- a/internal/decide/brretry/retry.go
+++ b/internal/decide/brretry/retry.go
@@ -23,6 +23,9 @@
 	// MaxAttempts is the maximum number of times that one request is sent.
 	MaxAttempts = 3
 
+	// MaxRetries is the maximum number of retries that a budget holds.
+	MaxRetries = maxBalance / costPerRetry
+
 	creditPerRequest = 8   // hundredths of a token
 	costPerRetry     = 100 // hundredths of a token
 	initialBalance   = 3 * costPerRetry
--- a/internal/model/brfleet/policy.go
+++ b/internal/model/brfleet/policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 )
@@ -55,6 +56,28 @@
 // Limits returns the limits of callers' requests.
 func (p Policy) Limits() Limits { return p.limits }
 
+// Routes returns all routes by host, those of a host in the order in which they are
+// matched.
+func (p Policy) Routes() []Route {
+	list := []Route{}
+	for _, host := range slices.Sorted(maps.Keys(p.routes)) {
+		list = append(list, p.routes[host]...)
+	}
+	return list
+}
+
+// Organisations returns all organisations by name.
+func (p Policy) Organisations() []Organisation {
+	list := make([]Organisation, 0, len(p.organisations))
+	for _, name := range slices.Sorted(maps.Keys(p.organisations)) {
+		list = append(list, p.organisations[name])
+	}
+	return list
+}
+
+// Services returns all configured services by name. The map must not be modified.
+func (p Policy) Services() map[string]Service { return p.services }
+
 // Match returns the route of the host with the longest prefix that matches the path.
 func (p Policy) Match(host, path string) (Route, bool) {
 	for _, r := range p.routes[host] {
