--- a/internal/decide/braffinity/former_test.go
+++ b/internal/decide/braffinity/former_test.go
@@ -26,22 +26,26 @@
 // selection is the ordering of a selector.
 type selection[P braffinity.Policy] struct {
 	selector *braffinity.Selector[*node, P]
+	pool     *braffinity.Pool[*node]
 }
 
 func newSelection[P braffinity.Policy](region string) ordering {
-	return selection[P]{selector: braffinity.NewSelector[*node, P](region)}
+	return &selection[P]{selector: braffinity.NewSelector[*node, P](region)}
 }
 
-func (s selection[P]) first(object string, nodes []*node, limit int) []*node {
-	pool := s.selector.Pool(braffinity.NewGroup("lookup", false))
+func (s *selection[P]) update(nodes []*node) {
+	s.pool = s.selector.Pool(braffinity.NewGroup("lookup", false))
 	for _, n := range nodes {
 		state := braffinity.Usable
 		if n.evacuated {
 			state = braffinity.Evacuated
 		}
-		pool.Add(n, state)
+		s.pool.Add(n, state)
 	}
-	return s.selector.Order(object, pool, limit)
+}
+
+func (s *selection[P]) first(object string, limit int) []*node {
+	return s.selector.Order(object, s.pool, limit)
 }
 
 func BenchmarkFormerMoves(b *testing.B) { benchmarkMoves(b, newFormer) }
--- a/internal/decide/braffinity/measure_test.go
+++ b/internal/decide/braffinity/measure_test.go
@@ -37,10 +37,11 @@
 	return &node{id: id, domain: domain, region: region, slots: slots, node: braffinity.NewNode(id, region, slots)}
 }
 
-// ordering orders servers for an object, as one VM does. The caller passes the
-// servers that are registered and not draining.
+// ordering orders servers for an object, as one VM does.
 type ordering interface {
-	first(object string, nodes []*node, limit int) []*node
+	// update sets the servers that are registered and not draining.
+	update(nodes []*node)
+	first(object string, limit int) []*node
 }
 
 // newFleet returns servers of 2, 4, 6 or 8 slots, spread evenly over the domains.
@@ -106,8 +107,9 @@
 	}
 	for _, region := range measuredRegions {
 		after := make([][]*node, m.objects)
+		m.vms[region].update(nodes)
 		for object := range m.objects {
-			after[object] = m.vms[region].first(fmt.Sprint("object-", object), nodes, nearServers)
+			after[object] = m.vms[region].first(fmt.Sprint("object-", object), nearServers)
 			if m.nodes != nil {
 				m.compare(m.before[region][object], after[object])
 			}
@@ -271,7 +273,9 @@
 			}
 		}
 		views[i], orderings[i] = view, newOrdering(measuredRegions[i%3])
-		orderings[i].first("", nodes, 1) // all VMs knew the same servers before
+		orderings[i].update(nodes) // all VMs knew the same servers before
+		orderings[i].first("", 1)
+		orderings[i].update(view)
 	}
 	for a := range vms / 2 {
 		b := a + 3
@@ -284,7 +288,7 @@
 		minimum += different / totalSlots(nodes) / 3
 		for object := range measuredObjects {
 			name := fmt.Sprint("object-", object)
-			if orderings[a].first(name, views[a], 1)[0] != orderings[b].first(name, views[b], 1)[0] {
+			if orderings[a].first(name, 1)[0] != orderings[b].first(name, 1)[0] {
 				differs += 1.0 / measuredObjects / 3
 			}
 		}
--- a/internal/decide/braffinity/selector.go
+++ b/internal/decide/braffinity/selector.go
@@ -196,37 +196,46 @@
 	equal := pool.regions.Equal()
 	for _, server := range pool.usable {
 		node := server.Node()
-		r := s.score(hash, server, node, equal)
 		best := &others
 		if node.region == s.region {
 			best = &own
 		}
-		if r.before(best) {
-			*best = r
-		}
-		if len(s.top) < limit {
-			s.top = append(s.top, r)
-		} else if limit <= 0 || !r.before(&s.top[limit-1]) {
+		mixed, score := s.score(hash, node, equal)
+		// Most servers are neither among the first ones nor the best of their side.
+		if limit > 0 && len(s.top) == limit && score < best.score && score < s.top[limit-1].score {
 			continue
 		}
-		i := len(s.top) - 1
-		for ; i > 0 && r.before(&s.top[i-1]); i-- {
-			s.top[i] = s.top[i-1]
+		r := ranked[S]{server: server, score: score, hash: mixed, found: true}
+		if r.before(best) {
+			*best = r
 		}
-		s.top[i] = r
+		s.insert(r, limit)
 	}
 	return own, others
 }
 
-// score returns a server with its score. Servers with equal slots are ordered by the hash
-// itself, since its rounded logarithm has fewer digits.
-func (s *Selector[S, P]) score(hash uint64, server S, node *Node, equal bool) ranked[S] {
-	mixed := mix(hash, node.hash)
-	score := float64(mixed)
-	if !equal {
-		score = s.policy.Score(mixed, node.slots)
+// insert puts a server into s.top if it is one of the first ones.
+func (s *Selector[S, P]) insert(r ranked[S], limit int) {
+	if len(s.top) < limit {
+		s.top = append(s.top, r)
+	} else if limit <= 0 || !r.before(&s.top[limit-1]) {
+		return
+	}
+	i := len(s.top) - 1
+	for ; i > 0 && r.before(&s.top[i-1]); i-- {
+		s.top[i] = s.top[i-1]
+	}
+	s.top[i] = r
+}
+
+// score returns the hash of an object and a server, and the server's score. Servers with equal
+// slots are ordered by the hash itself, since its rounded logarithm has fewer digits.
+func (s *Selector[S, P]) score(hash uint64, node *Node, equal bool) (mixed uint64, score float64) {
+	mixed = mix(hash, node.hash)
+	if equal {
+		return mixed, float64(mixed)
 	}
-	return ranked[S]{server: server, score: score, hash: mixed, found: true}
+	return mixed, s.policy.Score(mixed, node.slots)
 }
 
 // hasEvacuatedFirst reports whether the first server for an object would be one that is being
@@ -238,7 +247,8 @@
 		if (node.region == s.region) != stays {
 			continue
 		}
-		if r := s.score(hash, server, node, equal); r.before(&front) {
+		mixed, score := s.score(hash, node, equal)
+		if r := (ranked[S]{server: server, score: score, hash: mixed, found: true}); r.before(&front) {
 			return true
 		}
 	}
--- a/internal/decide/braffinity/selector_test.go
+++ b/internal/decide/braffinity/selector_test.go
@@ -66,7 +66,8 @@
 	for range measuredServers / 4 {
 		nodes = append(nodes, newFleet(random, 1)...)
 		for _, vm := range m.vms {
-			vm.first("object", nodes, 1)
+			vm.update(nodes)
+			vm.first("object", 1)
 		}
 	}
 	m.step(nodes)
@@ -141,9 +142,10 @@
 		nodes := newFleet(rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 3)), rapid.IntRange(1, 20).Draw(t, "servers"))
 		o := newWeighted(rapid.SampledFrom([]string{"a", "b", "elsewhere"}).Draw(t, "region"))
 		object := fmt.Sprint(rapid.Int().Draw(t, "object"))
-		whole := o.first(object, nodes, len(nodes))
+		o.update(nodes)
+		whole := o.first(object, len(nodes))
 		require.ElementsMatch(t, nodes, whole)
 		limit := rapid.IntRange(0, len(nodes)).Draw(t, "limit")
-		require.Equal(t, whole[:limit], o.first(object, nodes, limit))
+		require.Equal(t, whole[:limit], o.first(object, limit))
 	})
 }
