--- a/internal/decide/braffinity/policy.go
+++ b/internal/decide/braffinity/policy.go
@@ -11,6 +11,11 @@
 	// its slots call for, as a fraction, before the share of objects that it keeps is
 	// adjusted. Deviations of several regions add up to twice that at most.
 	shareTolerance = 0.025
+	// fullVariation is the variation of slots from which regions get objects by their slots
+	// alone, that of servers with 4 and 5 slots in equal numbers. Below, the share changes
+	// gradually from that of earlier releases: one server of another size in a fleet of
+	// equal ones must not move the objects of others.
+	fullVariation = 0.0123
 )
 
 // Policy determines how the order of servers depends on their slots and regions.
@@ -38,20 +43,22 @@
 }
 
 // KeptShare returns the share with which every region gets objects in proportion to its
-// slots if all regions have equal demand, or, where all servers are equal, homeShare
-// times the ratio of its slots to the mean of all regions, as earlier releases did: their
-// servers have the objects cached.
+// slots if all regions have equal demand. Where all servers are equal, it returns homeShare
+// times the ratio of the region's slots to the mean of all regions, as earlier releases did:
+// their servers have the objects cached.
 func (Weighted) KeptShare(regions *Regions, own string) (share, tolerance float64) {
 	count, slots := float64(regions.Len()), regions.Share(own)
 	tolerance = shareTolerance * math.Min(count*slots, 1)
-	if regions.Equal() || count < 2 {
-		return homeShare * count * slots, tolerance
+	former := homeShare * count * slots
+	if count < 2 {
+		return former, tolerance
 	}
 	// Region r keeps t(r) = 1-(1-w(r))x(r) of its objects and sends the others elsewhere in
 	// proportion to the slots w. The objects in each region are in proportion to w where
 	// x(r) = 1-w(r)k, for any k. This k makes t = homeShare for equal regions.
 	k := count * (1 - (1-homeShare)*count/(count-1))
-	return 1 - (1-slots)*math.Max(1-slots*k, 0), tolerance
+	balanced := 1 - (1-slots)*math.Max(1-slots*k, 0)
+	return former + (balanced-former)*math.Min(regions.Variation()/fullVariation, 1), tolerance
 }
 
 // Redistributes returns true.
--- a/internal/decide/braffinity/regions.go
+++ b/internal/decide/braffinity/regions.go
@@ -3,7 +3,9 @@
 // Regions holds the slots of the servers of each region.
 type Regions struct {
 	list      []regionSlots // in the order in which they were added
+	servers   int
 	slots     int
+	squares   int // sum of the squares of the servers' slots
 	evacuated int
 	smallest  int // slots of the smallest server
 	largest   int // slots of the largest server
@@ -22,7 +24,9 @@
 		r.smallest = n.slots
 	}
 	r.smallest, r.largest = min(r.smallest, n.slots), max(r.largest, n.slots)
+	r.servers++
 	r.slots += n.slots
+	r.squares += n.slots * n.slots
 	region := r.find(n)
 	region.slots += n.slots
 	if evacuated {
@@ -60,6 +64,15 @@
 // Equal reports whether all servers have equally many slots.
 func (r *Regions) Equal() bool { return r.smallest == r.largest }
 
+// Variation returns the variance of the servers' slots as a fraction of the square of their
+// mean; 0 means that all are equal.
+func (r *Regions) Variation() float64 {
+	if r.Equal() {
+		return 0
+	}
+	return float64(r.squares)*float64(r.servers)/(float64(r.slots)*float64(r.slots)) - 1
+}
+
 // Share returns the share of a region in all slots.
 func (r *Regions) Share(region string) float64 {
 	for i := range r.list {
--- a/internal/decide/braffinity/selector_test.go
+++ b/internal/decide/braffinity/selector_test.go
@@ -89,6 +89,31 @@
 	require.LessOrEqual(t, m.deviation(byRegion), maxShareDeviation)
 }
 
+// A server of another size is added to a fleet of equal servers, whose regions have unequal
+// sizes. Objects must not move because shares are computed otherwise from then on.
+func TestFirstServerOfAnotherSizeMovesOnlyItsObjects(t *testing.T) {
+	nodes := []*node{}
+	for i := range measuredServers {
+		region := []string{"a", "a", "a", "a", "a", "b", "b", "b", "c", "c"}[i%10]
+		nodes = append(nodes, newNode(fmt.Sprint("s-", i), region, region, 4))
+	}
+	added := newNode("other", "a", "a", 6)
+	for _, region := range measuredRegions {
+		vm := newWeighted(region)
+		before := make([]*node, measuredObjects)
+		vm.update(nodes)
+		for i := range before {
+			before[i] = vm.first(fmt.Sprint(i), 1)[0]
+		}
+		vm.update(append(slices.Clone(nodes), added))
+		for i := range before {
+			if after := vm.first(fmt.Sprint(i), 1)[0]; after != added {
+				require.Same(t, before[i], after)
+			}
+		}
+	}
+}
+
 // One server or failure domain changes its state. No object may move that was not on one
 // of these servers before or is on one of them afterwards.
 func TestOnlyObjectsOfChangedServersMove(t *testing.T) {
