--- a/internal/decide/brplacement/placer.go
+++ b/internal/decide/brplacement/placer.go
@@ -52,6 +52,7 @@
 	region    string
 	view      *brfleet.View
 	servers   map[string]*server
+	departed  map[serverRun]departed
 	services  map[string]*service
 	exposures map[string]Exposure
 	crashes   []Crash
@@ -76,6 +77,7 @@
 		region:    region,
 		view:      &brfleet.View{},
 		servers:   map[string]*server{},
+		departed:  map[serverRun]departed{},
 		services:  map[string]*service{},
 		exposures: map[string]Exposure{},
 		backoff:   brbackoff.New(vm),
@@ -106,6 +108,7 @@
 		}
 	}
 	p.recordUnregistered(now, registered)
+	p.keepRunning(registered)
 	p.servers = registered
 }
 
@@ -285,6 +288,7 @@
 // RecordOutcome records how a request to a server ended, and returns whether the server
 // said for the first time that it wants no requests.
 func (p *Placer) RecordOutcome(now time.Time, outcome Outcome) brbackoff.Change {
+	p.endRequest(outcome.server)
 	change := p.backoff.Record(now, outcome.server, outcome.report)
 	if outcome.kind == brrequest.OutcomeAnswered {
 		p.backoff.RecordAnswer(now, outcome.server)
--- a/internal/duty/bradmission/admission_bench_test.go
+++ b/internal/duty/bradmission/admission_bench_test.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -84,3 +85,35 @@
 	require.Positive(t, decision.RetryAfter())
 	require.LessOrEqual(t, decision.RetryAfter(), time.Second)
 }
+
+// The search for loans of an organisation ends while the duty's ring is full. If the end
+// were rejected, no further search would start for the organisation.
+func TestEndOfLoanSearchIsAcceptedWhileRingIsFull(t *testing.T) {
+	admission := bradmission.New(brclock.NewSystem())
+	for err := error(nil); err == nil; {
+		err = admission.Grant(nil)
+	}
+	require.NoError(t, admission.FinishSearch("taller"))
+}
+
+// Callers leave while the duty does not handle their requests. They must not be charged to
+// the organisation's limit.
+func TestRequestsOfCallersThatLeftAreNotCharged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		admission, request := startAdmission(t, 2)
+		time.Sleep(2 * time.Second) // for the burst of 2 tokens
+		until := make(chan struct{})
+		require.NoError(t, admission.Stall(until))
+		ctx, cancel := context.WithCancel(t.Context())
+		for range 20 {
+			go func() { _, _ = admission.Admit(ctx, request) }()
+		}
+		synctest.Wait()
+		cancel()
+		synctest.Wait()
+		close(until)
+		decision, err := admission.Admit(t.Context(), request)
+		require.NoError(t, err)
+		require.True(t, decision.Admitted())
+	})
+}
