--- a/internal/duty/brassignment/assigner.go
+++ b/internal/duty/brassignment/assigner.go
@@ -149,7 +149,7 @@
 		duty: brduty.New[message, *brfleet.View]("placing", h, clock,
 			brduty.WithCapacity(queueCapacity), brduty.WithReserve(queueReserve), brduty.WithPeriod(idlePeriod)),
 		answers:    brring.NewReplyPool[Assignment](),
-		collectors: h.metrics.collectors(),
+		collectors: append(h.metrics.collectors(), h.moves.total),
 		open:       &h.open,
 	}
 }
--- a/internal/duty/brassignment/handler.go
+++ b/internal/duty/brassignment/handler.go
@@ -29,6 +29,7 @@
 	view        *brfleet.View
 	tallies     map[uint64]brstatus.Tally
 	journal     Journal
+	moves       *moveReporter
 	metrics     metrics
 	open        atomic.Int64 // see maxOpen
 }
@@ -40,6 +41,7 @@
 		view: &brfleet.View{}, tallies: map[uint64]brstatus.Tally{},
 		journal: journal,
 		metrics: newMetrics(),
+		moves:   newMoveReporter(journal),
 	}
 }
 
@@ -78,6 +80,7 @@
 // Tick tries to assign the queued requests to servers and answers those whose wait
 // has expired.
 func (h *handler) Tick(_ context.Context, now time.Time) {
+	h.moves.report(now, h.placer.TakeMoves())
 	h.serve(now)
 	h.metrics.publishRunning(now, h.placer.Running)
 	for _, reply := range h.queue.Expire(now) {
