--- a/internal/decide/brretry/retry.go
+++ b/internal/decide/brretry/retry.go
@@ -54,19 +54,46 @@
 	return attempt
 }
 
+// Limits is how many retries a route may make. It is immutable.
+type Limits struct {
+	credit     int // hundredths of a token that a request earns
+	maxBalance int // hundredths of a token
+}
+
+// NewLimits returns limits of ratio retries for each request, and of burst retries at once
+// after a time without any.
+func NewLimits(ratio, burst float64) Limits {
+	return Limits{credit: int(ratio * costPerRetry), maxBalance: max(int(burst*costPerRetry), costPerRetry)}
+}
+
 // Budget holds the retry tokens of each route. It is not safe for concurrent use.
 type Budget struct {
 	balances map[string]int // hundredths of a token
+	limits   map[string]Limits
 }
 
 // NewBudget returns a budget in which each route starts with a few tokens.
 func NewBudget() *Budget {
-	return &Budget{balances: map[string]int{}}
+	return &Budget{balances: map[string]int{}, limits: map[string]Limits{}}
+}
+
+// SetLimits sets the limits of a route in place of the default ones.
+func (b *Budget) SetLimits(route string, limits Limits) {
+	b.limits[route] = limits
+	b.balances[route] = min(b.balance(route), limits.maxBalance)
 }
 
 // Earn credits a route with a fraction of a token for a request.
 func (b *Budget) Earn(route string) {
-	b.balances[route] = min(b.balance(route)+creditPerRequest, maxBalance)
+	limits := b.limitsOf(route)
+	b.balances[route] = min(b.balance(route)+limits.credit, limits.maxBalance)
+}
+
+func (b *Budget) limitsOf(route string) Limits {
+	if limits, ok := b.limits[route]; ok {
+		return limits
+	}
+	return Limits{credit: creditPerRequest, maxBalance: maxBalance}
 }
 
 // Spend takes a token from a route and reports whether one was available.
@@ -81,7 +108,7 @@
 
 // Refund returns the token of a retry that was not sent.
 func (b *Budget) Refund(route string) {
-	b.balances[route] = min(b.balance(route)+costPerRetry, maxBalance)
+	b.balances[route] = min(b.balance(route)+costPerRetry, b.limitsOf(route).maxBalance)
 }
 
 // Keep removes the budgets of all routes for which listed returns false.
--- a/internal/decide/brretry/retry_test.go
+++ b/internal/decide/brretry/retry_test.go
@@ -31,6 +31,27 @@
 	})
 }
 
+// Operators may allow more retries, or fewer at once: the sum over all VMs has to stay within
+// what they allow, whatever each VM has saved up.
+func TestLimitsOfRouteBoundRetries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ratio := rapid.Float64Range(0, 0.5).Draw(t, "ratio")
+		burst := rapid.Float64Range(1, 8).Draw(t, "burst")
+		budget := brretry.NewBudget()
+		budget.SetLimits("a", brretry.NewLimits(ratio, burst))
+		requests, retries := rapid.IntRange(0, 500).Draw(t, "requests"), 0
+		for range requests {
+			budget.Earn("a")
+			for range rapid.IntRange(0, 3).Draw(t, "tries") {
+				if budget.Spend("a") {
+					retries++
+				}
+			}
+		}
+		require.LessOrEqual(t, float64(retries), ratio*float64(requests)+burst)
+	})
+}
+
 func TestNonRepeatableRequestIsRetriedOnlyIfItDidNotRun(t *testing.T) {
 	require.True(t, brretry.Allowed(brconfig.RepeatOnce, brrequest.FateNotRun))
 	require.False(t, brretry.Allowed(brconfig.RepeatOnce, brrequest.FateUnknown))
--- a/internal/model/brfleet/bounds.go
+++ b/internal/model/brfleet/bounds.go
@@ -11,6 +11,8 @@
 	quotaOverage  float64
 	quotaSlack    float64
 	exposureShare float64
+	retryRatio    float64
+	retrySlack    float64
 }
 
 // NewBounds returns bounds with the grace period for shutting down a process and
@@ -52,3 +54,17 @@
 // ExposureShare returns the maximum share of a service's requests that a version
 // may get before its rollout has succeeded.
 func (b Bounds) ExposureShare() float64 { return b.exposureShare }
+
+// WithRetries returns the bounds with the attempts after the first ones that a service may
+// get from all VMs in some seconds: a ratio of its requests, and a number on top.
+func (b Bounds) WithRetries(ratio, slack float64) Bounds {
+	b.retryRatio, b.retrySlack = ratio, slack
+	return b
+}
+
+// RetryRatio returns the attempts after the first ones that a service may get, as a ratio of
+// its requests.
+func (b Bounds) RetryRatio() float64 { return b.retryRatio }
+
+// RetrySlack returns the number of attempts that a service may get on top of the ratio.
+func (b Bounds) RetrySlack() float64 { return b.retrySlack }
