--- a/internal/duty/braggregator/duty.go
+++ b/internal/duty/braggregator/duty.go
@@ -87,6 +87,7 @@
 	kindLeader
 	kindLeave
 	kindNotice
+	kindServers
 )
 
 type message struct {
@@ -100,6 +101,7 @@
 	asOf     time.Time
 	isLeader bool
 	notice   brrequest.PoisonNotice
+	servers  map[brstatus.ServerKey]brstatus.ServerUse
 }
 
 // Aggregator is the duty that aggregates fleet status and its API.
@@ -158,6 +160,11 @@
 	_ = a.duty.Queue().Send(message{kind: kindAges, ages: ages})
 }
 
+// SetServers sets what this VM has at servers whose loads are exchanged.
+func (a *Aggregator) SetServers(servers map[brstatus.ServerKey]brstatus.ServerUse) {
+	_ = a.duty.Queue().Send(message{kind: kindServers, servers: servers})
+}
+
 // Report records the status reported by another VM.
 func (a *Aggregator) Report(vm, region string, status brstatus.Status) {
 	_ = a.duty.Queue().Send(message{kind: kindReport, name: vm, region: region, status: status})
@@ -200,6 +207,7 @@
 	stoppingSince time.Time
 	notices       *braggregation.Notices
 	listener      Listener
+	servers       map[brstatus.ServerKey]brstatus.ServerUse
 }
 
 // Handle processes one message.
@@ -230,6 +238,9 @@
 	case kindLeave:
 		h.stopping, h.stoppingSince = true, now
 		h.recompute(now)
+	case kindServers:
+		h.servers = m.servers
+		h.recompute(now)
 	case kindNotice:
 		h.notices.Publish(now, m.notice)
 		h.recompute(now)
@@ -247,7 +258,7 @@
 	if h.stopping {
 		members = nil
 	}
-	own := brstatus.New(members, h.demands, h.agedTallies()).WithPoison(h.notices.Published(now)).WithStopping(h.stoppingVMs(now))
+	own := brstatus.New(members, h.demands, h.agedTallies()).WithPoison(h.notices.Published(now)).WithStopping(h.stoppingVMs(now)).WithServers(h.servers)
 	h.reports.AddReport(now, h.self.Name(), h.self.Region(), own)
 	summary := &Summary{own: own, region: h.reports.Region(now), isLeader: h.isLeader, fleet: h.receivedFleet, asOf: h.receivedAsOf}
 	if !h.usesReceivedFleet(now) {
--- a/internal/model/brstatus/status.go
+++ b/internal/model/brstatus/status.go
@@ -14,6 +14,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bergamotroad.example/bergamotroad/internal/model/brmeter"
 	"bergamotroad.example/bergamotroad/internal/model/brrequest"
 )
@@ -92,8 +94,48 @@
 	poison   []brrequest.PoisonNotice
 	stopping map[string]time.Duration // time since a VM announced its shutdown, by VM
 	usage    brmeter.Usage            // of one message; not part of sums
+	servers  map[ServerKey]ServerUse  // what VMs have at servers, and what they saw there
+}
+
+// ServerUse is what VMs have at a backend server and what they saw there lately. It is
+// immutable.
+type ServerUse struct {
+	running uint32
+	bad     uint32
+	all     uint32
+}
+
+// NewServerUse returns a use with the number of running requests.
+func NewServerUse(running uint32) ServerUse { return ServerUse{running: running} }
+
+// WithOutcomes returns the use with the recent outcomes: those by which the server showed
+// that it can't serve, and all of them.
+func (u ServerUse) WithOutcomes(bad, all uint32) ServerUse {
+	u.bad, u.all = bad, all
+	return u
 }
 
+// Running returns the number of running requests.
+func (u ServerUse) Running() uint32 { return u.running }
+
+// Bad returns the recent outcomes by which the server showed that it can't serve.
+func (u ServerUse) Bad() uint32 { return u.bad }
+
+// All returns the number of recent outcomes.
+func (u ServerUse) All() uint32 { return u.all }
+
+// Add returns the sum of two uses.
+func (u ServerUse) Add(o ServerUse) ServerUse {
+	return ServerUse{running: u.running + o.running, bad: u.bad + o.bad, all: u.all + o.all}
+}
+
+// ServerKey identifies a backend server in the counts that VMs exchange. It is a hash of
+// the server's identifier, so that a report has 4 bytes for each server.
+type ServerKey uint32
+
+// NewServerKey returns the key of the server with an identifier.
+func NewServerKey(id string) ServerKey { return ServerKey(xxhash.Sum64String(id)) }
+
 // New returns a status with the live and serving VMs, the demand in requests per
 // second by organisation, and the tallies by revision of the rollout's order. The
 // maps must not be modified afterwards.
@@ -139,6 +181,17 @@
 // Usage returns the usage that the sender of the status tells.
 func (s Status) Usage() brmeter.Usage { return s.usage }
 
+// WithServers returns the status with what VMs have at servers. The map must not be
+// modified afterwards.
+func (s Status) WithServers(servers map[ServerKey]ServerUse) Status {
+	s.servers = servers
+	return s
+}
+
+// Servers returns what VMs have at servers, for the services whose loads are exchanged.
+// The map must not be modified.
+func (s Status) Servers() map[ServerKey]ServerUse { return s.servers }
+
 // Members returns the live and serving VMs in ascending order. The slice must not
 // be modified.
 func (s Status) Members() []string { return s.members }
@@ -161,7 +214,7 @@
 // Tallies returns all tallies by revision. The map must not be modified.
 func (s Status) Tallies() map[uint64]Tally { return s.tallies }
 
-// Merge merges two statuses: it adds up demands and tallies, unites members and
+// Merge merges two statuses: it adds up demands, tallies and uses of servers, unites members and
 // notices, and keeps the later of two shutdown announcements of a VM.
 func (s Status) Merge(o Status) Status {
 	demands := maps.Clone(s.demands)
@@ -180,7 +233,20 @@
 	}
 	return New(slices.Compact(slices.Sorted(slices.Values(slices.Concat(s.members, o.members)))), demands, tallies).
 		WithPoison(union(s.poison, o.poison)).
-		WithStopping(latest(s.stopping, o.stopping))
+		WithStopping(latest(s.stopping, o.stopping)).
+		WithServers(add(s.servers, o.servers))
+}
+
+// add adds up the uses of two maps.
+func add(a, b map[ServerKey]ServerUse) map[ServerKey]ServerUse {
+	if len(b) == 0 {
+		return a
+	}
+	sum := maps.Clone(b)
+	for key, use := range a {
+		sum[key] = sum[key].Add(use)
+	}
+	return sum
 }
 
 // latest merges two maps, keeping the time since the later shutdown announcement
--- a/internal/peer/brentry/sync.go
+++ b/internal/peer/brentry/sync.go
@@ -27,6 +27,9 @@
 	syncResponseTimeout = 300 * time.Millisecond
 	// maxCoveredMilliseconds bounds the time without a gap that another VM reports.
 	maxCoveredMilliseconds = uint64(365 * 24 * time.Hour / time.Millisecond)
+	// maxServerUse bounds the counts that other VMs report for one server, so that sums stay
+	// in range.
+	maxServerUse = 1 << 20
 )
 
 // errNoResponse cancels a request to a VM that does not begin its response in time.
@@ -155,6 +158,12 @@
 	for vm, age := range status.Stopping() {
 		message.Left = append(message.Left, &brentrypb.LeftMessage{Vm: vm, AgeMilliseconds: uint32(max(age.Milliseconds(), 0))})
 	}
+	for server, use := range status.Servers() {
+		message.ServerKeys = append(message.ServerKeys, uint32(server))
+		message.ServerRunning = append(message.ServerRunning, use.Running())
+		message.ServerBad = append(message.ServerBad, use.Bad())
+		message.ServerAll = append(message.ServerAll, use.All())
+	}
 	for _, notice := range status.Poison() {
 		message.Poison = append(message.Poison, encodeNotice(notice))
 	}
@@ -179,7 +188,23 @@
 		stopping[m.GetVm()] = time.Duration(m.GetAgeMilliseconds()) * time.Millisecond
 	}
 	return brstatus.New(message.GetMembers(), validDemands(message.GetDemands()), tallies).WithPoison(notices).WithStopping(stopping).
-		WithUsage(decodeUsage(message.GetUsage()))
+		WithUsage(decodeUsage(message.GetUsage())).
+		WithServers(decodeServers(message))
+}
+
+// decodeServers returns what VMs have at servers. A message whose lists differ in length
+// says nothing.
+func decodeServers(message *brentrypb.StandingMessage) map[brstatus.ServerKey]brstatus.ServerUse {
+	keys, running, bad, all := message.GetServerKeys(), message.GetServerRunning(), message.GetServerBad(), message.GetServerAll()
+	servers := make(map[brstatus.ServerKey]brstatus.ServerUse, len(keys))
+	if len(running) != len(keys) || len(bad) != len(keys) || len(all) != len(keys) {
+		return servers
+	}
+	for i, key := range keys {
+		servers[brstatus.ServerKey(key)] = brstatus.NewServerUse(min(running[i], maxServerUse)).
+			WithOutcomes(min(bad[i], maxServerUse), min(all[i], maxServerUse))
+	}
+	return servers
 }
 
 // validDemands drops demands that are no rates: sums with them would be useless on all VMs.
--- a/internal/peer/brentry/sync_test.go
+++ b/internal/peer/brentry/sync_test.go
@@ -53,3 +53,19 @@
 		require.Equal(t, []brrecord.Batch{batch}, update.Batches())
 	}
 }
+
+// The requests and outcomes at servers have to arrive as they were sent: sums of them decide
+// how many requests a server gets.
+func TestStatusCarriesServerUses(t *testing.T) {
+	uses := map[brstatus.ServerKey]brstatus.ServerUse{
+		brstatus.NewServerKey("i-1"): brstatus.NewServerUse(3),
+		brstatus.NewServerKey("i-2"): brstatus.NewServerUse(0).WithOutcomes(16, 40),
+	}
+	status := brstatus.New(nil, nil, nil).WithServers(uses)
+	syncer := &fakeSyncer{update: brsync.NewUpdate(nil, status, time.Second)}
+	client, address, _ := startSyncer(t, syncer)
+	update, err := client.Sync(t.Context(), address, "vm-1", "north", brrecord.Revisions{}, 0, status)
+	require.NoError(t, err)
+	require.Equal(t, uses, update.Fleet().Servers())
+	require.Equal(t, uses, syncer.reported.Servers())
+}
