--- a/internal/decide/brbackoff/tracker.go
+++ b/internal/decide/brbackoff/tracker.go
@@ -128,6 +128,9 @@
 	return ok && server.StartUnixMilli() <= d.started
 }
 
+// HasQuiet reports whether any notice of a server that wants no requests is kept.
+func (t *Tracker) HasQuiet() bool { return len(t.quiet) > 0 }
+
 // QuietUntil returns the time until which a server gets no requests, if it wants none.
 func (t *Tracker) QuietUntil(now time.Time, server brfleet.Server) (time.Time, bool) {
 	notice, ok := t.notice(server)
--- a/internal/decide/brplacement/outcome.go
+++ b/internal/decide/brplacement/outcome.go
@@ -16,6 +16,7 @@
 	report     brfleet.ServerReport
 	request    broption.Option[brrequest.Fingerprint]
 	serverDown bool
+	timedOut   bool
 }
 
 // NewOutcome returns the outcome of a request to a server, with the time that the
@@ -49,6 +50,13 @@
 	return o
 }
 
+// WithTimedOut returns the outcome with whether the request's time ran out without a
+// response although the server had it for longer than responses usually take.
+func (o Outcome) WithTimedOut(timedOut bool) Outcome {
+	o.timedOut = timedOut
+	return o
+}
+
 // Server returns the server to which the request was sent.
 func (o Outcome) Server() brfleet.Server { return o.server }
 
--- a/internal/decide/brplacement/placer.go
+++ b/internal/decide/brplacement/placer.go
@@ -30,6 +30,7 @@
 	"bergamotroad.example/bergamotroad/internal/decide/brbackoff"
 	"bergamotroad.example/bergamotroad/internal/model/brfleet"
 	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+	"bergamotroad.example/bergamotroad/internal/model/brstatus"
 )
 
 const (
@@ -41,6 +42,9 @@
 	vmsPerColdServer = 2
 	// coldShare is the fraction of a cold server's rate that these VMs use together.
 	coldShare = 0.9
+	// utilisationLifetime is how long the utilisation of a service is used while nothing is
+	// recorded: estimated loads hardly fall in that time.
+	utilisationLifetime = 10 * time.Millisecond
 	// serviceLatencyWeight is the weight of a new sample in a service's mean latency.
 	serviceLatencyWeight = 0.02
 )
@@ -60,6 +64,7 @@
 	returns   returns
 	selector  *braffinity.Selector[*server, braffinity.Weighted]
 	firsts    *braffinity.Tracker
+	fleetLoad fleetLoad
 }
 
 // service holds the servers of one service.
@@ -67,6 +72,10 @@
 	servers  []*server // ordered by identifier
 	versions versions
 	latency  time.Duration
+	// load and slots are the sums over the servers as of utilisationAt.
+	load          float64
+	slots         int
+	utilisationAt time.Time
 }
 
 // New returns the placer of a VM in a region. It knows no servers before the first
@@ -84,12 +93,14 @@
 		returns:   newReturns(),
 		selector:  braffinity.NewSelector[*server, braffinity.Weighted](region),
 		firsts:    braffinity.NewTracker(),
+		fleetLoad: newFleetLoad(),
 	}
 }
 
 // Update sets the current view of the fleet.
 func (p *Placer) Update(now time.Time, view *brfleet.View) {
 	p.view = view
+	p.fleetLoad.update(view)
 	registered := make(map[string]*server, len(p.servers))
 	for name, registrations := range view.Servers() {
 		s := p.service(name)
@@ -110,6 +121,14 @@
 	p.recordUnregistered(now, registered)
 	p.keepRunning(registered)
 	p.servers = registered
+	p.resetUtilisations()
+}
+
+// resetUtilisations makes the utilisations of all services be computed anew.
+func (p *Placer) resetUtilisations() {
+	for _, s := range p.services {
+		s.utilisationAt = time.Time{}
+	}
 }
 
 // service returns the state of a service, which is created if needed.
@@ -130,7 +149,7 @@
 		if ok {
 			p.recordCrashes(now, s)
 		}
-		s = &server{registration: registration, listedAt: now}
+		s = &server{registration: registration, key: brstatus.NewServerKey(registration.ID()), listedAt: now}
 	}
 	if remaining := registration.ColdRemaining(); remaining > 0 && (!ok || s.registration.ColdRemaining() != remaining || s.coldUntil.IsZero()) {
 		s.coldUntil = now.Add(remaining)
@@ -140,6 +159,8 @@
 		s.coldUntil = latest(s.coldUntil, since.Add(coldTime))
 	}
 	s.registration = registration
+	s.leaving = p.backoff.IsLeaving(registration)
+	s.evacuated = p.view.Evacuated(registration.Domain())
 	s.node = braffinity.NewNode(registration.ID(), registration.Region(), registration.Slots())
 	return s
 }
@@ -190,7 +211,7 @@
 // eligible reports whether a server may run a request, now or once it wants requests
 // again.
 func (p *Placer) eligible(now time.Time, srv *server, query Query, allowed func(string) bool) bool {
-	if !p.isMember(srv, query, allowed) || p.view.Evacuated(srv.registration.Domain()) {
+	if !p.isMember(srv, query, allowed) || srv.evacuated {
 		return false
 	}
 	ejected := srv.failures > 0 && srv.paused(now)
@@ -203,12 +224,13 @@
 	if candidates == 0 {
 		return Choice{}, false
 	}
-	utilisation := p.utilisation(now, s)
+	utilisation := p.utilisation(now, s, query.service)
 	near := p.selector.Order(query.affinity(), pool, spread(utilisation))
 	p.recordFirst(now, query, pool, near[0])
+	tolerance := p.queueTolerance(query)
 	for _, rule := range placementRules {
 		for i, srv := range near {
-			if rule.applies(now, query, i, srv) && p.hasCapacity(now, s, srv, rule.maxQueue) {
+			if rule.applies(now, query, i, srv) && p.hasCapacity(now, s, srv, rule.maxQueue+tolerance) {
 				srv.recent.add(now, query.object)
 				return p.assign(now, srv, Choice{rank: i, candidates: candidates, utilisation: utilisation}), true
 			}
@@ -227,22 +249,42 @@
 }
 
 // utilisation returns the load of a service as a fraction of the slots of the servers that
-// want requests.
-func (p *Placer) utilisation(now time.Time, s *service) float64 {
-	load, slots := 0.0, 0
+// want requests. It is computed anew at each change of the state and otherwise after
+// utilisationLifetime, since it walks all servers of the service.
+func (p *Placer) utilisation(now time.Time, s *service, name string) float64 {
+	if now.Sub(s.utilisationAt) > utilisationLifetime || now.Before(s.utilisationAt) {
+		s.load, s.slots = p.serviceLoad(now, s, name)
+		s.utilisationAt = now
+	}
+	return s.load / float64(max(s.slots, 1))
+}
+
+// serviceLoad returns the number of requests at the servers of a service and of their slots.
+func (p *Placer) serviceLoad(now time.Time, s *service, name string) (load float64, slots int) {
+	exchanged := p.fleetLoad.services[name]
 	for _, srv := range s.servers {
-		if _, isQuiet := p.backoff.QuietUntil(now, srv.registration); isQuiet || p.backoff.IsLeaving(srv.registration) {
+		if srv.leaving || p.isQuiet(now, srv) || exchanged && srv.isOut(now) {
 			continue
 		}
 		load += srv.load(now)
 		slots += srv.registration.Slots()
 	}
-	return load / float64(max(slots, 1))
+	return load, slots
+}
+
+// isQuiet reports whether a server wants no requests now.
+func (p *Placer) isQuiet(now time.Time, srv *server) bool {
+	if !p.backoff.HasQuiet() {
+		return false
+	}
+	_, isQuiet := p.backoff.QuietUntil(now, srv.registration)
+	return isQuiet
 }
 
 // hasCapacity reports whether a server has capacity for one more request. maxQueue is
 // the maximum queue length as a fraction of the server's slots. A server that was
-// unreachable or is slow gets a single request at a time.
+// unreachable or is slow gets a single request at a time, and one that fails at other VMs
+// too gets them from a few VMs only, which find out when it has recovered.
 func (p *Placer) hasCapacity(now time.Time, s *service, srv *server, maxQueue float64) bool {
 	if srv.paused(now) {
 		return false
@@ -254,7 +296,10 @@
 	if window, limited := p.backoff.Window(srv.registration); limited && srv.running >= window {
 		return false
 	}
-	if srv.unreachable || srv.slow(s.latency) {
+	if srv.failing && !p.sendsToCold(srv) {
+		return false
+	}
+	if srv.failing || srv.unreachable || srv.slow(s.latency) {
 		return srv.running == 0 && srv.load(now) < slots
 	}
 	return srv.load(now)+1 <= slots*(1+maxQueue)+0.5
@@ -282,6 +327,7 @@
 	}
 	choice.server, choice.load = srv.registration, srv.load(now)
 	srv.running++
+	p.service(srv.registration.Service()).load++
 	return choice
 }
 
@@ -294,6 +340,7 @@
 		p.backoff.RecordAnswer(now, outcome.server)
 	}
 	if srv, ok := p.servers[outcome.server.ID()]; ok {
+		srv.leaving = p.backoff.IsLeaving(srv.registration)
 		p.recordAtServer(now, srv, outcome)
 	}
 	return change
@@ -302,10 +349,12 @@
 // recordAtServer records an outcome in the state of the server and of its service.
 func (p *Placer) recordAtServer(now time.Time, srv *server, outcome Outcome) {
 	srv.recordOutcome(now, outcome)
+	p.fleetLoad.observeReport(srv.registration.Service(), outcome)
 	if outcome.serverDown || outcome.kind == brrequest.OutcomeNotSent {
 		p.recordCrashes(now, srv)
 	}
 	s := p.service(srv.registration.Service())
+	s.utilisationAt = time.Time{}
 	switch {
 	case outcome.latency <= 0:
 	case s.latency == 0:
--- a/internal/decide/brplacement/rank.go
+++ b/internal/decide/brplacement/rank.go
@@ -23,18 +23,17 @@
 // isMember reports whether a server may run a request, now or once it is available again.
 func (p *Placer) isMember(srv *server, query Query, allowed func(string) bool) bool {
 	registration := &srv.registration
-	return !registration.Draining() && !p.backoff.IsLeaving(srv.registration) &&
+	return !registration.Draining() && !srv.leaving &&
 		query.allowsRegion(registration.Region()) && allowed(registration.Version())
 }
 
 // state reports whether a server that may run a request may do so now.
 func (p *Placer) state(now time.Time, srv *server, query Query) braffinity.State {
-	if p.view.Evacuated(srv.registration.Domain()) {
+	if srv.evacuated {
 		return braffinity.Evacuated
 	}
-	_, isQuiet := p.backoff.QuietUntil(now, srv.registration)
 	ejected := srv.failures > 0 && srv.paused(now)
-	if isQuiet || ejected || slices.Contains(query.excluded, srv.registration.ID()) {
+	if p.isQuiet(now, srv) || ejected || slices.Contains(query.excluded, srv.registration.ID()) {
 		return braffinity.Unavailable
 	}
 	return braffinity.Usable
--- a/internal/decide/brplacement/server.go
+++ b/internal/decide/brplacement/server.go
@@ -7,6 +7,7 @@
 	"bergamotroad.example/bergamotroad/internal/decide/braffinity"
 	"bergamotroad.example/bergamotroad/internal/model/brfleet"
 	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+	"bergamotroad.example/bergamotroad/internal/model/brstatus"
 )
 
 const (
@@ -45,7 +46,10 @@
 type server struct {
 	registration brfleet.Server
 	node         braffinity.Node
+	key          brstatus.ServerKey
 	listedAt     time.Time // when this run of the server was listed first
+	leaving      bool      // the server said that it shuts down
+	evacuated    bool      // its failure domain is evacuated
 	running      int       // this VM's running requests
 	peerLoad     peerLoad
 	pausedUntil  time.Time
@@ -57,7 +61,11 @@
 	unreachable  bool // at the last attempt
 	pacer        pacer
 	recent       recentObjects
-	broken       []brokenRequest // by time
+	outcomes     outcomeCounts
+	// fleetOutcomes is what all VMs together said last about the server.
+	fleetOutcomes brstatus.ServerUse
+	failing       bool            // by the outcomes of all VMs
+	broken        []brokenRequest // by time
 }
 
 // Node returns what the order of servers for an object depends on.
@@ -89,6 +97,7 @@
 
 // recordOutcome records what the end of a request of this VM says about the server.
 func (s *server) recordOutcome(now time.Time, o Outcome) {
+	s.outcomes.record(now, isBad(o, s.load(now), s.registration.Slots()))
 	if load, ok := o.report.Load().Get(); ok {
 		s.peerLoad.observe(now, math.Max(float64(load.Running()+load.Waiting()-s.running), 0))
 	}
@@ -145,6 +154,10 @@
 		s.recordFault(now)
 		return
 	}
+	if !reported && s.peerLoad.isExchanged(now) && s.load(now) < float64(s.registration.Slots()) {
+		s.recordFault(now) // full by what it says, but not by what the VMs have there
+		return
+	}
 	if !reported {
 		s.peerLoad.observe(now, math.Max(s.peerLoad.estimate(now), float64(s.registration.Slots())))
 	}
--- a/internal/duty/brassignment/assigner.go
+++ b/internal/duty/brassignment/assigner.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	assigner := brassignment.New(clock, self, aggregator, detector, journal)
+//	assigner := brassignment.New(clock, self, bounds, aggregator, detector, journal)
 //	replicator.Subscribe(assigner.Views())
 //	group.Start(assigner.Duty())
 //	assignment, err := assigner.Place(ctx, query, 50*time.Millisecond, func(choice brplacement.Choice) (brplacement.Outcome, brassignment.VersionResult) {
@@ -49,6 +49,12 @@
 	// estimated load of a server may fall without a message to the duty.
 	rescanInterval = 15 * time.Millisecond
 	idlePeriod     = time.Second
+	// exchangeInterval is the interval at which the loads of servers are exchanged with other
+	// VMs. Reports to them are sent about as often.
+	// retryMargin is the part of the allowed retries that is used: windows of VMs and of the
+	// operators' count don't coincide.
+	retryMargin      = 0.8
+	exchangeInterval = 150 * time.Millisecond
 )
 
 type kind int
@@ -140,8 +146,8 @@
 }
 
 // New returns the duty of a VM.
-func New(clock brclock.Clock, self brfleet.VM, aggregator *braggregator.Aggregator, detector PoisonDetector, journal Journal) *Assigner {
-	return newAssigner(clock, newHandler(clock, self, aggregator, detector, journal))
+func New(clock brclock.Clock, self brfleet.VM, bounds brfleet.Bounds, aggregator *braggregator.Aggregator, detector PoisonDetector, journal Journal) *Assigner {
+	return newAssigner(clock, newHandler(clock, self, bounds, aggregator, detector, journal))
 }
 
 func newAssigner(clock brclock.Clock, h *handler) *Assigner {
--- a/internal/duty/brassignment/handler.go
+++ b/internal/duty/brassignment/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,7 @@
 	placer      *brplacement.Placer
 	queue       brplacement.Queue[brring.Reply[Assignment]]
 	retryBudget *brretry.Budget
+	bounds      brfleet.Bounds
 	aggregator  *braggregator.Aggregator
 	detector    PoisonDetector
 	view        *brfleet.View
@@ -32,11 +34,15 @@
 	moves       *moveReporter
 	metrics     metrics
 	open        atomic.Int64 // see maxOpen
+	// nextExchange is when the loads of servers are exchanged with other VMs again.
+	nextExchange time.Time
+	fleetAsOf    time.Time // of the fleet's loads in use
+	exchanged    []string  // services whose loads are exchanged
 }
 
-func newHandler(clock brclock.Clock, self brfleet.VM, aggregator *braggregator.Aggregator, detector PoisonDetector, journal Journal) *handler {
+func newHandler(clock brclock.Clock, self brfleet.VM, bounds brfleet.Bounds, aggregator *braggregator.Aggregator, detector PoisonDetector, journal Journal) *handler {
 	return &handler{
-		clock: clock, placer: brplacement.New(self.Name(), self.Region()), retryBudget: brretry.NewBudget(),
+		clock: clock, placer: brplacement.New(self.Name(), self.Region()), retryBudget: brretry.NewBudget(), bounds: bounds,
 		aggregator: aggregator, detector: detector,
 		view: &brfleet.View{}, tallies: map[uint64]brstatus.Tally{},
 		journal: journal,
@@ -81,6 +87,7 @@
 // has expired.
 func (h *handler) Tick(_ context.Context, now time.Time) {
 	h.moves.report(now, h.placer.TakeMoves())
+	h.exchangeLoads(now)
 	h.serve(now)
 	h.metrics.publishRunning(now, h.placer.Running)
 	for _, reply := range h.queue.Expire(now) {
@@ -125,10 +132,46 @@
 	return assignment
 }
 
-// Due returns the time until the queue is scanned again, if any request is queued.
+// exchangeLoads reports this VM's requests at servers to the other VMs and takes over what
+// the whole fleet has there, if the loads of any service are exchanged.
+func (h *handler) exchangeLoads(now time.Time) {
+	if !h.placer.ExchangesLoads() || now.Before(h.nextExchange) {
+		return
+	}
+	h.nextExchange = now.Add(exchangeInterval)
+	services := h.placer.ExchangedServices()
+	if !slices.Equal(services, h.exchanged) {
+		h.exchanged = services
+		h.journal.StateChange("loads of servers exchanged", "services", services)
+	}
+	h.setRetryLimits(services)
+	if summary := h.aggregator.Summary(); summary.AsOf().After(h.fleetAsOf) {
+		h.fleetAsOf = summary.AsOf()
+		h.placer.SetFleetUses(now, summary.Fleet().Servers())
+	}
+	h.aggregator.SetServers(h.placer.ServerUses(now))
+}
+
+// setRetryLimits lets this VM use its part of the retries that the operators allow, for the
+// services whose loads are exchanged: their retries go to servers that have capacity.
+func (h *handler) setRetryLimits(services []string) {
+	if h.bounds.RetryRatio() <= 0 {
+		return
+	}
+	burst := retryMargin * h.bounds.RetrySlack() / float64(max(len(h.view.VMs()), 1))
+	for _, service := range services {
+		h.retryBudget.SetLimits(service, brretry.NewLimits(retryMargin*h.bounds.RetryRatio(), burst))
+	}
+}
+
+// Due returns the time until the queue is scanned again, if any request is queued, or until
+// the next exchange of loads.
 func (h *handler) Due(now time.Time) (time.Duration, bool) {
 	next, waiting := h.queue.NextExpiry()
-	return min(max(next.Sub(now), 0), rescanInterval), waiting
+	if waiting {
+		return min(max(next.Sub(now), 0), rescanInterval), true
+	}
+	return h.nextExchange.Sub(now), h.placer.ExchangesLoads()
 }
 
 func (h *handler) place(now time.Time, m message) {
--- a/internal/duty/brassignment/slots_test.go
+++ b/internal/duty/brassignment/slots_test.go
@@ -109,7 +109,7 @@
 
 func newHistory(ctx context.Context) (*history, *brduty.Group) {
 	clock := brclock.NewSystem()
-	h := newHandler(clock, brfleet.NewVM("vm-1", "", "").WithLocation("a-1", "a"), nil, ignoreEvents{}, ignoreEvents{})
+	h := newHandler(clock, brfleet.NewVM("vm-1", "", "").WithLocation("a-1", "a"), brfleet.Bounds{}, nil, ignoreEvents{}, ignoreEvents{})
 	v := &history{assigner: newAssigner(clock, h), handler: h, starts: make([]int64, len(services)*serversPerService)}
 	group := brduty.NewGroup(ctx, clock, brobserver.Nop{})
 	group.Start(v.assigner.Duty())
@@ -255,7 +255,7 @@
 // at the moment at which it is answered.
 func newUnreceived(t *testing.T) (*handler, message) {
 	clock := brclock.NewFake(time.Unix(1000, 0))
-	h := newHandler(clock, brfleet.NewVM("vm-1", "", "").WithLocation("a-1", "a"), nil, ignoreEvents{}, ignoreEvents{})
+	h := newHandler(clock, brfleet.NewVM("vm-1", "", "").WithLocation("a-1", "a"), brfleet.Bounds{}, nil, ignoreEvents{}, ignoreEvents{})
 	server := brfleet.NewServer("s-0", services[0], "10.0.0.1:80").WithLocation("a-1", "a").WithSlots(2)
 	policy := brfleet.NewPolicy(1, brfleet.Limits{}, nil, nil, nil)
 	h.Update(t.Context(), brfleet.NewView(policy, []brfleet.Server{server}, nil, nil, brset.New[string]()))
@@ -356,7 +356,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		clock := brclock.NewSystem()
 		journal := blockingJournal{unblocked: make(chan struct{})}
-		h := newHandler(clock, brfleet.NewVM("vm-1", "", "").WithLocation("a-1", "a"), nil, ignoreEvents{}, journal)
+		h := newHandler(clock, brfleet.NewVM("vm-1", "", "").WithLocation("a-1", "a"), brfleet.Bounds{}, nil, ignoreEvents{}, journal)
 		assigner := newAssigner(clock, h)
 		group := brduty.NewGroup(t.Context(), clock, brobserver.Nop{})
 		group.Start(assigner.Duty())
--- a/internal/duty/brexchanger/duty.go
+++ b/internal/duty/brexchanger/duty.go
@@ -29,6 +29,9 @@
 const (
 	// exchangePeriod is the time between two exchanges with a region.
 	exchangePeriod = 400 * time.Millisecond
+	// loadExchangePeriod is the same while VMs exchange the loads of servers, which change
+	// faster than the rest of the status.
+	loadExchangePeriod = 200 * time.Millisecond
 	// exchangeTimeout limits one exchange; it allows for a few round trips between
 	// regions.
 	exchangeTimeout = 300 * time.Millisecond
@@ -81,6 +84,7 @@
 	skippedUntil map[string]time.Time
 	counter      *brusagecounter.Counter // nil if usage isn't metered
 	cursor       brusage.Cursor
+	lastExchange time.Time
 }
 
 // Handle does nothing: this duty receives no messages.
@@ -89,9 +93,15 @@
 // Update does nothing: this duty uses no snapshots.
 func (*handler) Update(context.Context, struct{}) {}
 
+// Due returns the time until the next exchange while loads of servers are exchanged.
+func (h *handler) Due(now time.Time) (time.Duration, bool) {
+	return h.lastExchange.Add(loadExchangePeriod).Sub(now), len(h.aggregator.Summary().Region().Servers()) > 0
+}
+
 // Tick attempts one exchange, with the first VM of the region that is not skipped.
 // A VM that does not respond is skipped for a while.
 func (h *handler) Tick(ctx context.Context, now time.Time) {
+	h.lastExchange = now
 	if !h.aggregator.Summary().IsLeader() {
 		return
 	}
--- a/internal/duty/brsyncer/duty.go
+++ b/internal/duty/brsyncer/duty.go
@@ -37,6 +37,9 @@
 	// syncWait is how long the source may hold a sync until there are changes; it
 	// is also the interval at which this VM reports its status.
 	syncWait = 400 * time.Millisecond
+	// loadSyncWait is the same while VMs exchange the loads of servers, which change faster
+	// than records.
+	loadSyncWait = 200 * time.Millisecond
 	// syncTimeout limits a sync beyond its wait. A VM that was offline for long
 	// receives many records at once, which takes about a second on a busy slow link.
 	syncTimeout = 1500 * time.Millisecond
@@ -215,7 +218,10 @@
 // sync syncs once with a VM and applies the result.
 func (h *handler) sync(ctx context.Context, vm brfleet.VM, mayWait bool) brsource.Outcome {
 	wait := time.Duration(0)
-	if mayWait {
+	switch {
+	case mayWait && len(h.aggregator.Summary().Own().Servers()) > 0:
+		wait = loadSyncWait
+	case mayWait:
 		wait = syncWait
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+syncTimeout)
--- a/internal/model/brfleet/policy.go
+++ b/internal/model/brfleet/policy.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"strings"
+
+	"bergamotroad.example/bergamotroad/internal/core/brset"
 )
 
 // Policy is one version of the operators' configuration. It is immutable.
@@ -15,6 +17,7 @@
 	services      map[string]Service
 	organisations map[string]Organisation
 	keys          map[string]string // organisation names by API key
+	competing     brset.Set[string] // services whose routes have different priorities
 	loaded        bool
 }
 
@@ -27,6 +30,7 @@
 		services:      make(map[string]Service, len(services)),
 		organisations: make(map[string]Organisation, len(organisations)),
 		keys:          map[string]string{},
+		competing:     competingServices(routes),
 		loaded:        true,
 	}
 	for _, r := range routes {
@@ -120,3 +124,22 @@
 
 // Service returns a service by name, or the zero Service if it is not configured.
 func (p Policy) Service(name string) Service { return p.services[name] }
+
+// HasCompetingRoutes reports whether routes of different priorities use a service.
+func (p Policy) HasCompetingRoutes(service string) bool { return p.competing.Has(service) }
+
+// competingServices returns the services that routes of different priorities use.
+func competingServices(routes []Route) brset.Set[string] {
+	competing := brset.New[string]()
+	priorities := map[string]int{}
+	for _, r := range routes {
+		for _, s := range r.services {
+			priority, known := priorities[s.service]
+			if known && priority != r.priority {
+				competing.Add(s.service)
+			}
+			priorities[s.service] = r.priority
+		}
+	}
+	return competing
+}
--- a/internal/service/brentryvm/vm.go
+++ b/internal/service/brentryvm/vm.go
@@ -126,7 +126,7 @@
 func (v *VM) addProxy(adapter Adapter) *brproxy.Proxy {
 	detector := brquarantine.New[brpoison.ConcurrentPolicy](v.clock, eventLogger{journal: v.journal}, v.aggregator)
 	v.aggregator.SetListener(detector)
-	assigner := brassignment.New(v.clock, v.config.self, v.aggregator, detector, v.journal)
+	assigner := brassignment.New(v.clock, v.config.self, v.config.bounds, v.aggregator, detector, v.journal)
 	v.replicator.Subscribe(assigner.Views())
 	v.collectors = append(v.collectors, v.replicator.Collectors()...)
 	v.collectors = append(v.collectors, assigner.Collectors()...)
--- a/internal/service/brproxy/attempt.go
+++ b/internal/service/brproxy/attempt.go
@@ -199,6 +199,7 @@
 	return brplacement.NewOutcome(server, kind, latency).
 		WithReport(report).
 		WithRequest(j.fingerprint).
+		WithTimedOut(kind == brrequest.OutcomeCancelled && duration > j.route.TargetLatency() && context.Cause(ctx) == context.DeadlineExceeded).
 		WithServerDown(kind == brrequest.OutcomeBroken && p.isDead(ctx, server))
 }
 
--- a/internal/service/brproxy/attempt_test.go
+++ b/internal/service/brproxy/attempt_test.go
@@ -71,7 +71,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				clock := brclock.NewSystem()
-				assigner := brassignment.New(clock, brfleet.NewVM("vm-1", "", "").WithLocation("a-1", "a"), nil, ignoreEvents{}, ignoreEvents{})
+				assigner := brassignment.New(clock, brfleet.NewVM("vm-1", "", "").WithLocation("a-1", "a"), brfleet.Bounds{}, nil, ignoreEvents{}, ignoreEvents{})
 				group := brduty.NewGroup(t.Context(), clock, brobserver.Nop{})
 				group.Start(assigner.Duty())
 				defer group.Stop()
