--- a/internal/duty/brassignment/handler.go
+++ b/internal/duty/brassignment/handler.go
@@ -3,10 +3,9 @@
 import (
 	"context"
 	"maps"
+	"sync/atomic"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-
 	"bergamotroad.example/bergamotroad/internal/core/brclock"
 	"bergamotroad.example/bergamotroad/internal/core/brring"
 	"bergamotroad.example/bergamotroad/internal/decide/brbackoff"
@@ -14,6 +13,7 @@
 	"bergamotroad.example/bergamotroad/internal/decide/brretry"
 	"bergamotroad.example/bergamotroad/internal/duty/braggregator"
 	"bergamotroad.example/bergamotroad/internal/model/brfleet"
+	"bergamotroad.example/bergamotroad/internal/model/brrequest"
 	"bergamotroad.example/bergamotroad/internal/model/brstatus"
 )
 
@@ -29,7 +29,18 @@
 	view        *brfleet.View
 	tallies     map[uint64]brstatus.Tally
 	journal     Journal
-	notices     *prometheus.CounterVec
+	metrics     metrics
+	open        atomic.Int64 // see maxOpen
+}
+
+func newHandler(clock brclock.Clock, self brfleet.VM, aggregator *braggregator.Aggregator, detector PoisonDetector, journal Journal) *handler {
+	return &handler{
+		clock: clock, placer: brplacement.New(self.Name(), self.Region()), retryBudget: brretry.NewBudget(),
+		aggregator: aggregator, detector: detector,
+		view: &brfleet.View{}, tallies: map[uint64]brstatus.Tally{},
+		journal: journal,
+		metrics: newMetrics(),
+	}
 }
 
 // Handle processes one message.
@@ -41,8 +52,12 @@
 	case kindRetry:
 		h.retry(now, m)
 	case kindOutcome:
-		h.recordOutcome(now, m.outcome)
-		h.tally(m.result)
+		h.open.Add(-1)
+		if m.ending.unsentRetry {
+			h.retryBudget.Refund(m.ending.outcome.Server().Service())
+		}
+		h.recordOutcome(now, m.ending.outcome)
+		h.tally(m.ending.result)
 		h.serve(now)
 	case kindExposures:
 		h.placer.SetExposures(m.exposures)
@@ -64,6 +79,7 @@
 // has expired.
 func (h *handler) Tick(_ context.Context, now time.Time) {
 	h.serve(now)
+	h.metrics.publishRunning(now, h.placer.Running)
 	for _, reply := range h.queue.Expire(now) {
 		reply.Answer(Assignment{hasCandidates: true, waiting: h.queue.Len()})
 	}
@@ -74,11 +90,11 @@
 func (h *handler) recordOutcome(now time.Time, outcome brplacement.Outcome) {
 	switch server := outcome.Server(); h.placer.RecordOutcome(now, outcome) {
 	case brbackoff.Left:
-		h.notices.WithLabelValues(noticeLeaving).Inc()
+		h.metrics.notices.WithLabelValues(noticeLeaving).Inc()
 		h.journal.StateChange("server leaves", "server", server.ID(), "service", server.Service(), "address", server.Address(), "started", server.StartUnixMilli())
 		h.answerHopeless(now)
 	case brbackoff.Quiet:
-		h.notices.WithLabelValues(noticeQuiet).Inc()
+		h.metrics.notices.WithLabelValues(noticeQuiet).Inc()
 		h.journal.StateChange("server wants no requests", "server", server.ID(), "service", server.Service(), "retry_after_ms", outcome.Report().RetryAfter().Milliseconds())
 		h.answerHopeless(now)
 	default:
@@ -114,11 +130,8 @@
 
 func (h *handler) place(now time.Time, m message) {
 	h.retryBudget.Earn(m.query.Service())
-	if h.queue.Len() == 0 {
-		if choice, ok := h.placer.Pick(now, m.query); ok {
-			m.reply.Answer(Assignment{choice: choice, assigned: true})
-			return
-		}
+	if h.queue.Len() == 0 && h.assign(now, m.query, m.reply) != unassigned {
+		return
 	}
 	availability := h.placer.Availability(now, m.query)
 	if !availability.HasCandidates() {
@@ -132,10 +145,17 @@
 	h.serve(now)
 }
 
+// retry assigns a request to another server. The retry budget is charged only for a retry
+// that is sent.
 func (h *handler) retry(now time.Time, m message) {
-	if h.retryBudget.Spend(m.query.Service()) {
-		if choice, ok := h.placer.Pick(now, m.query); ok {
-			m.reply.Answer(Assignment{choice: choice, assigned: true})
+	service := m.query.Service()
+	if h.retryBudget.Spend(service) {
+		settled := h.assign(now, m.query, m.reply)
+		if settled == assigned {
+			return
+		}
+		h.retryBudget.Refund(service)
+		if settled == abandoned {
 			return
 		}
 	}
@@ -146,14 +166,39 @@
 // serve tries to assign the queued requests to servers, in queue order.
 func (h *handler) serve(now time.Time) {
 	h.queue.Serve(func(query brplacement.Query, reply brring.Reply[Assignment]) bool {
-		choice, ok := h.placer.Pick(now, query)
-		if ok {
-			reply.Answer(Assignment{choice: choice, assigned: true})
-		}
-		return ok
+		return h.assign(now, query, reply) != unassigned
 	})
 }
 
+// assignResult is the result of an attempt to assign a request to a server.
+type assignResult int
+
+const (
+	// unassigned means that no server has room.
+	unassigned assignResult = iota
+	// assigned means that the caller received the assignment.
+	assigned
+	// abandoned means that the caller no longer waits.
+	abandoned
+)
+
+// assign assigns a request to a server. It takes the slot back if the caller has not
+// received the assignment. All slots are taken here.
+func (h *handler) assign(now time.Time, query brplacement.Query, reply brring.Reply[Assignment]) assignResult {
+	if reply.IsAbandoned() {
+		return abandoned
+	}
+	choice, ok := h.placer.Pick(now, query)
+	if !ok {
+		return unassigned
+	}
+	if !reply.Answer(Assignment{choice: choice, assigned: true}) {
+		h.placer.RecordOutcome(now, brplacement.NewOutcome(choice.Server(), brrequest.OutcomeCancelled, 0))
+		return abandoned
+	}
+	return assigned
+}
+
 // reportCrashes reports the servers that crashed while they ran a request.
 func (h *handler) reportCrashes() {
 	for _, crash := range h.placer.TakeCrashes() {
