--- a/internal/decide/brusage/holder.go
+++ b/internal/decide/brusage/holder.go
@@ -51,9 +51,9 @@
 	// settleTime is the time that a VM must have been one that others report to before it
 	// fixes counts: the others first have to send it all that they have.
 	settleTime = 1500 * time.Millisecond
-	// abdicationTime is how long a holder that others don't report to any more keeps the
+	// handoverDelay is how long a holder that others don't report to any more keeps the
 	// lease, so that it isn't handed over if the VM that they report to changes for a moment.
-	abdicationTime = time.Second
+	handoverDelay = time.Second
 	// maxPending bounds the reports in the row, and so its size, while the platform accepts
 	// none. The oldest are dropped.
 	maxPending = 36
@@ -280,7 +280,7 @@
 	call := StoreCall{write: true, lease: h.row.Lease().WithSeen(h.terms.Number(now.wall)), expected: h.row.Version()}
 	fixed := h.fixWindows(&call, now, view)
 	isolated := h.isIsolated(now, view)
-	leaves := view.stopping || !view.leads && now.steady >= view.leadsFrom+abdicationTime || isolated && !h.alone
+	leaves := view.stopping || !view.leads && now.steady >= view.leadsFrom+handoverDelay || isolated && !h.alone
 	h.alone = h.alone && isolated
 	if leaves && h.sending == nil && now.steady >= h.unansweredAt+h.terms.Lease()/guardDivisor {
 		call.lease = call.lease.WithReleased()
--- a/internal/decide/brusage/ledger.go
+++ b/internal/decide/brusage/ledger.go
@@ -212,7 +212,9 @@
 		key := runKey{vm: b.key.vm, run: b.key.run}
 		switch {
 		case b.key.window == window-1 && b.closed:
-			closed[key] = closed[key] // expected, and not closed unless it is
+			if _, known := closed[key]; !known {
+				closed[key] = false
+			}
 		case b.key.window == window:
 			closed[key] = b.closed
 		}
