--- a/internal/service/brentryvm/sync.go
+++ b/internal/service/brentryvm/sync.go
@@ -41,12 +41,14 @@
 // Exchange stores the status of another region and returns that of this region.
 func (v *VM) Exchange(_ context.Context, region string, status brstatus.Status) (string, brstatus.Status, error) {
 	v.aggregator.ReportRegion(region, status.WithUsage(brmeter.Usage{}))
-	v.mergeUsage(status, false)
+	// Another region may take this VM for the one that others report to before or after it is.
+	// What it gets then has to reach the VM that it reports to.
+	v.mergeUsage(status, !v.aggregator.Summary().IsLeader())
 	return v.config.self.Region(), v.acknowledged(v.aggregator.Summary().Region()), nil
 }
 
-// mergeUsage adds the usage in a message of another VM; direct means that it reports to this
-// one, which passes its counts on.
+// mergeUsage adds the usage in a message of another VM; direct means that this VM passes its
+// counts on.
 func (v *VM) mergeUsage(status brstatus.Status, direct bool) {
 	if v.counter != nil {
 		v.counter.Merge(status.Usage(), direct)
