--- a/internal/peer/brcaller/decode_fuzz_test.go
+++ b/internal/peer/brcaller/decode_fuzz_test.go
@@ -25,7 +25,7 @@
 		r.Header.Set(name, value)
 		r.Header.Set("Authorization", authorization)
 		h := &Handler{clock: brclock.NewSystem()}
-		request, call := h.decode(r)
+		request, call := h.decode(r, r.Body)
 		for field := range call.Fields().All() {
 			require.False(t, strings.EqualFold(field, "Authorization"), "the key is forwarded")
 			require.False(t, strings.HasPrefix(field, brmessage.ReservedPrefix), "%s is forwarded", field)
--- a/internal/peer/brcaller/handler.go
+++ b/internal/peer/brcaller/handler.go
@@ -12,6 +12,7 @@
 	"bergamotroad.example/bergamotroad/internal/model/brlocation"
 	"bergamotroad.example/bergamotroad/internal/model/brmessage"
 	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+	"bergamotroad.example/bergamotroad/internal/peer/brduplex"
 	"bergamotroad.example/bergamotroad/internal/service/brdispatch"
 )
 
@@ -61,12 +62,12 @@
 		refuseUnsupported(w)
 		return
 	}
-	// A response may start before the request has arrived completely. HTTP/2
-	// always allows this.
-	_ = http.NewResponseController(w).EnableFullDuplex()
-	request, call := h.decode(r)
-	result := h.dispatcher.Dispatch(r.Context(), request, call, &responseWriter{response: w, id: request.ID()})
+	body := brduplex.NewBody(r)
+	defer body.Finish(w)
+	request, call := h.decode(r, body)
+	result := h.dispatcher.Dispatch(r.Context(), request, call, &responseWriter{response: w, id: request.ID(), body: body})
 	if !result.Started() {
+		body.PrepareResponse(w)
 		writeRefusal(w, request.ID(), result)
 		return
 	}
--- a/internal/peer/brcaller/request.go
+++ b/internal/peer/brcaller/request.go
@@ -12,6 +12,7 @@
 package brcaller
 
 import (
+	"io"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -40,7 +41,7 @@
 
 // decode returns the description of a request that decisions are based on, and
 // the call that is forwarded.
-func (h *Handler) decode(r *http.Request) (brrequest.Request, brmessage.Call) {
+func (h *Handler) decode(r *http.Request, body io.Reader) (brrequest.Request, brmessage.Call) {
 	id := uuid.NewString()
 	request := brrequest.New(id, r.Method, r.URL.Path, clientAddress(r)).
 		WithSize(r.ContentLength).
@@ -51,7 +52,7 @@
 	fields.Remove("Expect")
 	fields.Set(FieldRequestID, id)
 	fields.Set("Host", r.Host)
-	call := brmessage.NewCall(r.Method, r.URL.RequestURI(), fields, r.Body, r.ContentLength)
+	call := brmessage.NewCall(r.Method, r.URL.RequestURI(), fields, body, r.ContentLength)
 	return request, call
 }
 
--- a/internal/peer/brcaller/writer.go
+++ b/internal/peer/brcaller/writer.go
@@ -7,12 +7,14 @@
 
 	"bergamotroad.example/bergamotroad/internal/model/brmessage"
 	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+	"bergamotroad.example/bergamotroad/internal/peer/brduplex"
 )
 
 // responseWriter writes the response of a backend server to the caller.
 type responseWriter struct {
 	response       http.ResponseWriter
 	id             string
+	body           *brduplex.Body
 	flushEachWrite bool
 }
 
@@ -29,6 +31,7 @@
 	}
 	header.Set(FieldFate, string(brrequest.FateRan))
 	header.Set(FieldRequestID, w.id)
+	w.body.PrepareResponse(w.response)
 	w.response.WriteHeader(status)
 	w.flushEachWrite = fields.First("Content-Length") == ""
 	return nil
--- a/internal/peer/brentry/forward.go
+++ b/internal/peer/brentry/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -15,6 +16,7 @@
 	"bergamotroad.example/bergamotroad/internal/model/brmessage"
 	"bergamotroad.example/bergamotroad/internal/model/brrequest"
 	"bergamotroad.example/bergamotroad/internal/peer/brbackend"
+	"bergamotroad.example/bergamotroad/internal/peer/brduplex"
 	"bergamotroad.example/bergamotroad/internal/service/brdispatch"
 )
 
@@ -112,19 +114,22 @@
 }
 
 func (s *forwardServer) serve(w http.ResponseWriter, r *http.Request) {
-	_ = http.NewResponseController(w).EnableFullDuplex()
+	body := brduplex.NewBody(r)
+	defer body.Finish(w)
 	request, decision, err := s.decode(r)
 	if err != nil {
+		body.PrepareResponse(w)
 		w.Header().Set(fieldFate, string(brrequest.FateNotRun))
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	writer := &pacedWriter{
-		Writer: &forwardWriter{response: w},
+		Writer: &forwardWriter{response: w, body: body},
 		stream: stream{context: r.Context(), limiter: s.limiter, domain: r.Header.Get(fieldDomain), name: request.ID()},
 	}
-	result := s.receiver.Receive(r.Context(), request, decision, backendCall(r), writer)
+	result := s.receiver.Receive(r.Context(), request, decision, backendCall(r, body), writer)
 	if !result.Started() {
+		body.PrepareResponse(w)
 		writeRefusal(w, result)
 		return
 	}
@@ -162,7 +167,7 @@
 
 // backendCall returns the request that is sent to a server, without the header fields
 // that only entry VMs use among each other.
-func backendCall(r *http.Request) brmessage.Call {
+func backendCall(r *http.Request, body io.Reader) brmessage.Call {
 	fields := r.Header.Clone()
 	for name := range fields {
 		if strings.HasPrefix(name, reservedPrefix) {
@@ -171,7 +176,7 @@
 	}
 	fields.Set("Host", r.Host)
 	target := strings.TrimPrefix(r.URL.RequestURI(), forwardPrefix)
-	return brmessage.NewCall(r.Method, target, brmessage.NewFields(fields), r.Body, r.ContentLength)
+	return brmessage.NewCall(r.Method, target, brmessage.NewFields(fields), body, r.ContentLength)
 }
 
 func writeRefusal(w http.ResponseWriter, result brdispatch.Result) {
--- a/internal/peer/brentry/forwardwriter.go
+++ b/internal/peer/brentry/forwardwriter.go
@@ -7,11 +7,13 @@
 
 	"bergamotroad.example/bergamotroad/internal/model/brmessage"
 	"bergamotroad.example/bergamotroad/internal/model/brrequest"
+	"bergamotroad.example/bergamotroad/internal/peer/brduplex"
 )
 
 // forwardWriter writes a server's response to the VM that forwarded the request.
 type forwardWriter struct {
 	response http.ResponseWriter
+	body     *brduplex.Body
 }
 
 // WriteHead writes the status and the header fields.
@@ -21,6 +23,7 @@
 		header[name] = values
 	}
 	header.Set(fieldFate, string(brrequest.FateRan))
+	w.body.PrepareResponse(w.response)
 	w.response.WriteHeader(status)
 	return w.flush()
 }
--- a/internal/service/brfront/handler.go
+++ b/internal/service/brfront/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"runtime/debug"
 	"time"
@@ -71,6 +72,10 @@
 	if r.Body != nil && r.Body != http.NoBody {
 		limited := http.MaxBytesReader(w, r.Body, h.limits.BodyBytes())
 		body := newMinRateBody(limited, w, h.dependencies.clock, h.limits)
+		// net/http's server recognises a body that has not been read to its end by its own
+		// type, and closes the connection. Another type would make it take the rest of the
+		// body for the next request.
+		defer func(original io.ReadCloser) { r.Body = original }(r.Body)
 		defer body.finish()
 		r.Body = body
 	}
--- a/tests/vm_bench_test.go
+++ b/tests/vm_bench_test.go
@@ -83,24 +83,24 @@
 
 // startVM starts a VM in front of one server, in this process, and returns the base URL for
 // callers.
-func startVM(b *testing.B, server string) string {
-	b.Helper()
+func startVM(t testing.TB, server string) string {
+	t.Helper()
 	platform := httptest.NewServer(newPlatform())
-	b.Cleanup(platform.Close)
-	callers, peers, operators := benchAddress(b), benchAddress(b), benchAddress(b)
+	t.Cleanup(platform.Close)
+	callers, peers, operators := benchAddress(t), benchAddress(t), benchAddress(t)
 	settings, err := brsettings.Parse(fmt.Appendf(nil, `{
 	  "vm": "vm-1", "domain": "a", "drain": {"lookups": "0s"},
 	  "callers": {"address": %q, "plain": true}, "peers": {"address": %q, "plain": true},
 	  "operators": {"address": %q, "plain": true, "openAdministration": true},
 	  "platform": {"table": %q, "objects": %q, "vms": %q}}`,
 		callers, peers, operators, platform.URL, platform.URL+"/objects", platform.URL+"/vms"))
-	require.NoError(b, err)
+	require.NoError(t, err)
 	node, err := brnode.New(settings, brclock.NewSystem(), log.New(io.Discard))
-	require.NoError(b, err)
+	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- node.Run(ctx) }()
-	b.Cleanup(func() {
+	t.Cleanup(func() {
 		cancel()
 		<-done
 	})
@@ -114,16 +114,16 @@
 	  {"kind": "route", "name": "open", "spec": {"service": "open", "pathPrefix": "/open", "repeat": "any", "open": true}}
 	]`, callers, peers, server, benchSlots)
 	response, err := http.Post("http://"+operators+"/v1/apply", "application/json", bytes.NewReader(resources))
-	require.NoError(b, err)
-	require.NoError(b, response.Body.Close())
-	require.Equal(b, http.StatusOK, response.StatusCode)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusOK, response.StatusCode)
 	return "http://" + callers
 }
 
-func benchAddress(b *testing.B) string {
-	b.Helper()
+func benchAddress(t testing.TB) string {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(b, err)
+	require.NoError(t, err)
 	defer func() { _ = listener.Close() }()
 	return listener.Addr().String()
 }
