--- a/tests/soak/checker_test.go
+++ b/tests/soak/checker_test.go
@@ -61,6 +61,7 @@
 	tolerated    map[string]int         // tolerated events by kind
 	crashes      map[string][]time.Time // of servers, by the call that crashed them
 	notices      notices
+	uploads      uploadCounts
 }
 
 func newChecker(d *disturbances, h *configHistory) *checker {
--- a/tests/soak/deployment_test.go
+++ b/tests/soak/deployment_test.go
@@ -186,6 +186,7 @@
 	s.SetServiceTime(serviceTime)
 	s.OnRequest(d.checker.checkArrival)
 	s.OnRefusal(d.checker.recordRefusal)
+	s.OnBody(d.checker.checkBody)
 	s.CrashOn(func(a brstandin.ReceivedRequest) bool {
 		poison := isPoison(a.Text())
 		if poison {
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -126,6 +126,7 @@
 	d.startAll(random)
 	ctx, cancel := context.WithCancel(context.Background())
 	callers := d.startCallers(ctx, seed)
+	d.startUploaders(ctx, seed, callers)
 	d.awaitService(t, callers)
 	kinds := faultKindsOf(seed)
 	steps := drawSteps(random, kinds, *faultDuration, int(faultDuration.Seconds()**faultRate))
@@ -245,6 +246,7 @@
 	d.checker.mutex.Lock()
 	defer d.checker.mutex.Unlock()
 	t.Logf("seed %d: %d requests, %s, the harness stalled %d times", seed, len(d.checker.order), d.checker.summary(), d.disturbances.stalls)
+	t.Logf("seed %d: servers read %d uploads whole, %d cut off", seed, d.checker.uploads.whole.Load(), d.checker.uploads.cutOff.Load())
 	for _, kind := range kinds {
 		t.Logf("seed %d includes: %s", seed, kind.name)
 	}
