--- a/internal/peer/brduplex/body.go
+++ b/internal/peer/brduplex/body.go
@@ -47,7 +47,7 @@
 	request  *http.Request
 	source   io.Reader
 	mutex    sync.Mutex // held while the body is read
-	finished bool
+	finished atomic.Bool
 	begun    atomic.Bool
 	ended    atomic.Bool
 	prepared bool
@@ -66,7 +66,7 @@
 	b.begun.Store(true)
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if b.finished {
+	if b.finished.Load() {
 		return 0, errFinished
 	}
 	n, err := b.source.Read(part)
@@ -118,9 +118,15 @@
 	}
 	control := http.NewResponseController(w)
 	_ = control.Flush()
+	// Comes before the deadline: a source may set one of its own when a read begins.
+	b.finished.Store(true)
 	_ = control.SetReadDeadline(time.Now().Add(pendingTimeout))
-	b.mutex.Lock()
-	b.finished = true
-	b.mutex.Unlock()
+	b.waitForRead()
 	_ = control.SetReadDeadline(time.Now().Add(restTimeout))
 }
+
+// waitForRead waits until no read is in progress.
+func (b *Body) waitForRead() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+}
