--- a/internal/decide/brplacement/fleet_load.go
+++ b/internal/decide/brplacement/fleet_load.go
@@ -76,6 +76,21 @@
 	return slices.Sorted(maps.Keys(p.fleetLoad.services))
 }
 
+// FailingServers returns the number of servers that fail by the outcomes of all VMs, for each
+// service whose loads are exchanged.
+func (p *Placer) FailingServers() map[string]int {
+	failing := map[string]int{}
+	for name := range p.fleetLoad.services {
+		failing[name] = 0
+		for _, srv := range p.service(name).servers {
+			if srv.failing {
+				failing[name]++
+			}
+		}
+	}
+	return failing
+}
+
 // ServerUses returns what this VM has at the servers whose loads are exchanged, for the
 // report to other VMs. Outcomes are reported only for servers at which any VM saw bad ones.
 func (p *Placer) ServerUses(now time.Time) map[brstatus.ServerKey]brstatus.ServerUse {
--- a/internal/duty/brassignment/handler.go
+++ b/internal/duty/brassignment/handler.go
@@ -145,6 +145,9 @@
 		h.journal.StateChange("loads of servers exchanged", "services", services)
 	}
 	h.setRetryLimits(services)
+	for service, count := range h.placer.FailingServers() {
+		h.metrics.failing.WithLabelValues(service).Set(float64(count))
+	}
 	if summary := h.aggregator.Summary(); summary.AsOf().After(h.fleetAsOf) {
 		h.fleetAsOf = summary.AsOf()
 		h.placer.SetFleetUses(now, summary.Fleet().Servers())
--- a/internal/duty/brassignment/metrics.go
+++ b/internal/duty/brassignment/metrics.go
@@ -21,6 +21,7 @@
 type metrics struct {
 	notices     *prometheus.CounterVec
 	running     *prometheus.GaugeVec
+	failing     *prometheus.GaugeVec
 	services    map[string]int // in the gauge
 	publishedAt time.Time
 }
@@ -35,11 +36,15 @@
 			Name: "bergamotroad_server_running_requests",
 			Help: "Requests of this VM at backend servers, as counted for the choice of servers, within the last two seconds.",
 		}, []string{"service"}),
+		failing: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "bergamotroad_failing_servers",
+			Help: "Backend servers that fail by the outcomes of all VMs, for services whose loads VMs exchange.",
+		}, []string{"service"}),
 	}
 }
 
 func (m *metrics) collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.notices, m.running}
+	return []prometheus.Collector{m.notices, m.running, m.failing}
 }
 
 // publishRunning updates the gauge of running requests, unless it was updated just before.
