--- a/internal/model/brrequest/fingerprint.go
+++ b/internal/model/brrequest/fingerprint.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"io"
 
 	"github.com/go-faster/errors"
 )
@@ -15,12 +16,30 @@
 // NewFingerprint returns the fingerprint of a request. The body is nil if it is
 // too large to be buffered; its size in bytes is always included.
 func NewFingerprint(route, method, target string, body []byte, size int64) Fingerprint {
-	input := []byte{}
-	for _, part := range [][]byte{[]byte(route), []byte(method), []byte(target), body} {
-		input = binary.BigEndian.AppendUint64(input, uint64(len(part)))
-		input = append(input, part...)
+	return NewFingerprintOfParts(route, method, target, [][]byte{body}, size)
+}
+
+// NewFingerprintOfParts returns the same fingerprint for a body that is buffered in parts.
+func NewFingerprintOfParts(route, method, target string, body [][]byte, size int64) Fingerprint {
+	hash := sha256.New()
+	for _, text := range []string{route, method, target} {
+		writeSize(hash, len(text))
+		_, _ = io.WriteString(hash, text)
+	}
+	total := 0
+	for _, part := range body {
+		total += len(part)
 	}
-	return sha256.Sum256(binary.BigEndian.AppendUint64(input, uint64(size)))
+	writeSize(hash, total)
+	for _, part := range body {
+		_, _ = hash.Write(part)
+	}
+	writeSize(hash, int(size))
+	return Fingerprint(hash.Sum(nil))
+}
+
+func writeSize(hash io.Writer, size int) {
+	_, _ = hash.Write(binary.BigEndian.AppendUint64(nil, uint64(size)))
 }
 
 // ParseFingerprint parses the format that String returns.
