--- a/internal/service/brfront/body.go
+++ b/internal/service/brfront/body.go
@@ -18,6 +18,7 @@
 	clock      brclock.Clock
 	limits     brsettings.Limits
 	waitBudget time.Duration // time for which reads may still wait for the client
+	deadline   time.Time     // of all reads; zero if there is none
 	ended      atomic.Bool
 }
 
@@ -31,10 +32,18 @@
 	}
 }
 
+// SetDeadline sets the time after which reads fail, whatever the rate; the zero time removes it.
+// It must not be called while a read is in progress.
+func (b *minRateBody) SetDeadline(deadline time.Time) { b.deadline = deadline }
+
 // Read reads a part of the body.
 func (b *minRateBody) Read(part []byte) (int, error) {
 	began := b.clock.Now()
-	_ = b.control.SetReadDeadline(began.Add(b.waitBudget))
+	until := began.Add(b.waitBudget)
+	if !b.deadline.IsZero() && b.deadline.Before(until) {
+		until = b.deadline
+	}
+	_ = b.control.SetReadDeadline(until)
 	n, err := b.ReadCloser.Read(part)
 	earned := time.Duration(n) * time.Second / time.Duration(b.limits.BodyRate())
 	b.waitBudget = min(b.waitBudget-b.clock.Now().Sub(began)+earned, b.limits.BodyGrace())
--- a/internal/service/brsettings/limits.go
+++ b/internal/service/brsettings/limits.go
@@ -15,6 +15,28 @@
 	requests              int64
 }
 
+// NewLimits returns the default limits of callers' fronts with a maximum number of
+// connections, in total and for each client address.
+func NewLimits(connections, connectionsPerAddress int) Limits {
+	limits := callerDefaults
+	limits.connections, limits.connectionsPerAddress = int64(connections), int64(connectionsPerAddress)
+	return limits
+}
+
+// WithHeaders returns the limits with the maximum size of a header and the times to receive
+// one and between two requests.
+func (l Limits) WithHeaders(bytes int, timeout, idle time.Duration) Limits {
+	l.headerBytes, l.headerTimeout, l.idleTimeout = int64(bytes), timeout, idle
+	return l
+}
+
+// WithBodyGrace returns the limits with the time that a body may take in addition to its size
+// divided by BodyRate.
+func (l Limits) WithBodyGrace(grace time.Duration) Limits {
+	l.bodyGrace = grace
+	return l
+}
+
 // HeaderBytes returns the maximum size of the request line and header fields.
 func (l Limits) HeaderBytes() int { return int(l.headerBytes) }
 
