--- a/internal/model/brrequest/fate.go
+++ b/internal/model/brrequest/fate.go
@@ -42,8 +42,12 @@
 	ReasonLeaving            Reason = "vm-leaving"
 	ReasonDeadline           Reason = "deadline-passed"
 	ReasonBodyTooLarge       Reason = "body-too-large"
-	ReasonServerFailed       Reason = "server-failed"
-	ReasonCallerGone         Reason = "caller-gone"
+	// ReasonBodiesTooLarge means that the bodies in progress left no memory for this one.
+	ReasonBodiesTooLarge Reason = "bodies-too-large"
+	// ReasonTooManyRequests means that the VM has its maximum number of requests in progress.
+	ReasonTooManyRequests Reason = "too-many-requests"
+	ReasonServerFailed    Reason = "server-failed"
+	ReasonCallerGone      Reason = "caller-gone"
 	// ReasonPoison means that requests with this fingerprint crash servers.
 	ReasonPoison Reason = "poison"
 	// ReasonPoisonSuspect means that the request is suspected of crashing servers, and that
--- a/internal/service/brentryvm/config.go
+++ b/internal/service/brentryvm/config.go
@@ -13,6 +13,7 @@
 	healthChecks string
 	metrics      string
 	memory       int64
+	files        int
 }
 
 // NewConfig returns the config of a VM with the operators' settings and the region of
@@ -41,3 +42,9 @@
 	c.memory = bytes
 	return c
 }
+
+// WithFiles returns the config with the number of descriptors that the process may open.
+func (c Config) WithFiles(count int) Config {
+	c.files = count
+	return c
+}
--- a/internal/service/brentryvm/observe.go
+++ b/internal/service/brentryvm/observe.go
@@ -40,6 +40,10 @@
 		"Messages waiting in a duty's ring.", []string{"duty"}, nil)
 	ringDropped = prometheus.NewDesc("bergamotroad_duty_ring_dropped_messages_total",
 		"Messages dropped because a duty's ring was full.", []string{"duty"}, nil)
+	frontConnections = prometheus.NewDesc("bergamotroad_front_connections",
+		"Open connections of clients.", []string{"front"}, nil)
+	frontRefused = prometheus.NewDesc("bergamotroad_front_refused_connections_total",
+		"Connections closed because of the limits, in total or for one address.", []string{"front"}, nil)
 )
 
 // collector reads the VM's state when its metrics are scraped.
@@ -49,7 +53,7 @@
 
 // Describe sends the descriptions of the metrics.
 func (*collector) Describe(descriptions chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{recordAge, policyVersion, liveVMs, ringLength, ringDropped} {
+	for _, d := range []*prometheus.Desc{recordAge, policyVersion, liveVMs, ringLength, ringDropped, frontConnections, frontRefused} {
 		descriptions <- d
 	}
 }
@@ -73,4 +77,9 @@
 		metrics <- prometheus.MustNewConstMetric(ringLength, prometheus.GaugeValue, float64(progress.Waiting()), d.Name())
 		metrics <- prometheus.MustNewConstMetric(ringDropped, prometheus.CounterValue, float64(progress.Dropped()), d.Name())
 	}
+	for name, guard := range c.vm.guards {
+		open, refused := guard.Connections()
+		metrics <- prometheus.MustNewConstMetric(frontConnections, prometheus.GaugeValue, float64(open), name)
+		metrics <- prometheus.MustNewConstMetric(frontRefused, prometheus.CounterValue, float64(refused), name)
+	}
 }
--- a/internal/service/brentryvm/vm.go
+++ b/internal/service/brentryvm/vm.go
@@ -26,6 +26,8 @@
 	"bergamotroad.example/bergamotroad/internal/core/brclock"
 	"bergamotroad.example/bergamotroad/internal/core/brduty"
 	"bergamotroad.example/bergamotroad/internal/core/brset"
+	"bergamotroad.example/bergamotroad/internal/decide/brconnection"
+	"bergamotroad.example/bergamotroad/internal/decide/brmemory"
 	"bergamotroad.example/bergamotroad/internal/decide/brpoison"
 	"bergamotroad.example/bergamotroad/internal/duty/braggregator"
 	"bergamotroad.example/bergamotroad/internal/duty/brallowance"
@@ -37,6 +39,7 @@
 	"bergamotroad.example/bergamotroad/internal/duty/brregistration"
 	"bergamotroad.example/bergamotroad/internal/duty/brreload"
 	"bergamotroad.example/bergamotroad/internal/duty/brreplicator"
+	"bergamotroad.example/bergamotroad/internal/duty/brreservation"
 	"bergamotroad.example/bergamotroad/internal/duty/brresult"
 	"bergamotroad.example/bergamotroad/internal/duty/brsyncer"
 	"bergamotroad.example/bergamotroad/internal/duty/brwatch"
@@ -44,16 +47,17 @@
 	"bergamotroad.example/bergamotroad/internal/model/brrecord"
 	"bergamotroad.example/bergamotroad/internal/peer/brentry"
 	"bergamotroad.example/bergamotroad/internal/peer/brregistry"
+	"bergamotroad.example/bergamotroad/internal/service/brfront"
 	"bergamotroad.example/bergamotroad/internal/service/brproxy"
 	"bergamotroad.example/bergamotroad/internal/service/brquotalimiter"
 	"bergamotroad.example/bergamotroad/internal/service/brshutdown"
 )
 
-const (
-	// memoryLimitFraction is the Go runtime's soft memory limit, as a fraction of the VM's
-	// memory.
-	memoryLimitFraction = 0.6
-)
+// memoryLimitFraction is the Go runtime's soft memory limit, as a fraction of the VM's memory.
+// The rest is for the program's own pages, the kernel's buffers of its connections, and for
+// memory in use that temporarily exceeds the limit: the runtime collects garbage for at most
+// half of its time.
+const memoryLimitFraction = 0.6
 
 // VM is an entry VM.
 type VM struct {
@@ -71,6 +75,7 @@
 	duties     []brduty.Runner
 	servers    []*http.Server
 	listeners  []net.Listener
+	guards     map[string]*brfront.Guard // by the name of the front
 	collectors []prometheus.Collector
 	closeConns func()
 	leaving    atomic.Bool
@@ -81,7 +86,7 @@
 	if config.memory > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(config.memory)))
 	}
-	v := &VM{config: config, clock: clock, journal: brjournal.New(clock, config.self.Name(), output)}
+	v := &VM{config: config, clock: clock, journal: brjournal.New(clock, config.self.Name(), output), guards: map[string]*brfront.Guard{}}
 	v.setBounds(config.bounds)
 	v.replicator = brreplicator.New(clock, adapter.decoder, v.journal)
 	v.aggregator = braggregator.New(clock, config.self)
@@ -126,8 +131,12 @@
 	recorder := brresult.New(v.clock, adapter.registry, v.journal)
 	controller := brcanary.New(v.clock, v.config.self, v.Bounds, v.replicator, v.aggregator, assigner, recorder, v.journal)
 	v.duties = append(v.duties, detector.Duty(), assigner.Duty(), v.enforcer.Duty(), recorder.Duty(), controller.Duty())
+	reservations := brreservation.New(v.clock, brmemory.BodyBytes(v.config.memory), v.journal)
+	v.duties = append(v.duties, reservations.Duty())
+	v.collectors = append(v.collectors, reservations.Collectors()...)
 	limiter := brquotalimiter.New(v.clock, v.config.self.Name(), v.enforcer, v.syncer, v.client)
-	proxy := brproxy.New(v.clock, v.replicator, limiter, assigner, detector, adapter.upstream, v.journal)
+	proxy := brproxy.New(v.clock, v.replicator, limiter, assigner, detector, reservations, adapter.upstream, v.journal).
+		WithMaxRequests(brconnection.NewAllotment(v.config.files, v.config.memory).Requests())
 	v.collectors = append(v.collectors, proxy.Collectors()...)
 	return proxy
 }
--- a/internal/service/brproxy/attempt.go
+++ b/internal/service/brproxy/attempt.go
@@ -149,7 +149,7 @@
 }
 
 func (p *Proxy) canRetry(ctx context.Context, j *job, attempt attemptResult) bool {
-	if ctx.Err() != nil || j.tries >= maxTries || j.streamsBody {
+	if ctx.Err() != nil || j.tries >= maxTries || j.body.streamed {
 		return false
 	}
 	if _, poisoned := p.refusedAsPoison(j); poisoned {
--- a/internal/service/brproxy/job.go
+++ b/internal/service/brproxy/job.go
@@ -1,12 +1,9 @@
 package brproxy
 
 import (
-	"bytes"
-	"io"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/go-faster/errors"
 
 	"bergamotroad.example/bergamotroad/internal/decide/brplacement"
 	"bergamotroad.example/bergamotroad/internal/duty/brreplicator"
@@ -17,9 +14,6 @@
 )
 
 const (
-	// maxBufferedBody is the largest request body that is buffered, so that the request
-	// can be retried; a larger one is streamed.
-	maxBufferedBody = 1 << 20 // bytes
 	// priorityLevels is greater than any route's priority, so that the
 	// organisation's priority takes precedence over the route's.
 	priorityLevels = 1000
@@ -37,9 +31,8 @@
 	organisation brfleet.Organisation
 	service      string
 	deadline     time.Time
-	body         []byte
+	body         body
 	fingerprint  brrequest.Fingerprint
-	streamsBody  bool
 	query        brplacement.Query
 	runs         int // servers that may have run the request
 	tries        int
@@ -99,44 +92,25 @@
 	return services[0].Service()
 }
 
-// readBody buffers a small body, so that the request can be retried.
-func (j *job) readBody() error {
-	if j.call.Body() == nil || j.call.Size() == 0 {
-		return nil
-	}
-	if j.call.Size() > maxBufferedBody {
-		j.streamsBody = true
-		return nil
-	}
-	body, err := io.ReadAll(io.LimitReader(j.call.Body(), maxBufferedBody+1))
-	if err != nil {
-		return errors.Errorf("read request body: %w", err)
-	}
-	if len(body) <= maxBufferedBody {
-		j.body = body
-		return nil
-	}
-	j.streamsBody = true
-	rest := io.MultiReader(bytes.NewReader(body), j.call.Body())
-	j.call = brmessage.NewCall(j.call.Method(), j.call.Target(), j.call.Fields(), rest, j.call.Size())
-	return nil
-}
-
 // setFingerprint computes the request's fingerprint from its route, its organisation
-// and its content.
+// and its content. Of a streamed body, only the size counts.
 func (j *job) setFingerprint() {
 	caller := j.route.Name() + " " + j.organisation.Name()
-	j.fingerprint = brrequest.NewFingerprint(caller, j.call.Method(), j.call.Target(), j.body, j.call.Size())
+	parts := j.body.parts
+	if j.body.streamed {
+		parts = nil
+	}
+	j.fingerprint = brrequest.NewFingerprintOfParts(caller, j.call.Method(), j.call.Target(), parts, j.call.Size())
 }
 
 // newCall returns a copy of the call for the next attempt.
 func (j *job) newCall() brmessage.Call {
 	fields := j.call.Fields().Clone()
-	if j.streamsBody {
+	if j.body.streamed {
 		return brmessage.NewCall(j.call.Method(), j.call.Target(), fields, j.call.Body(), j.call.Size())
 	}
-	if len(j.body) == 0 {
+	if j.body.size == 0 {
 		return brmessage.NewCall(j.call.Method(), j.call.Target(), fields, nil, 0)
 	}
-	return brmessage.NewCall(j.call.Method(), j.call.Target(), fields, bytes.NewReader(j.body), int64(len(j.body)))
+	return brmessage.NewCall(j.call.Method(), j.call.Target(), fields, j.body.reader(), j.body.size)
 }
--- a/internal/service/brproxy/proxy.go
+++ b/internal/service/brproxy/proxy.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	proxy := brproxy.New(clock, replicator, limiter, assigner, detector, upstream, journal)
+//	proxy := brproxy.New(clock, replicator, limiter, assigner, detector, reservations, upstream, journal)
 //	result := proxy.Forward(ctx, request, call, writer)
 //	if !result.Started() {
 //		// write an error response with result.Reason() and result.RetryAfter()
@@ -17,6 +17,8 @@
 
 import (
 	"context"
+	"math"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -98,19 +100,30 @@
 	quotas   QuotaLimiter
 	servers  ServerSelector
 	poison   PoisonDetector
+	memory   BodyMemory
 	upstream Upstream
 	journal  Journal
 	metrics  metrics
+
+	maxRequests int64
+	running     atomic.Int64
 }
 
 // New returns the proxy of a VM.
-func New(clock brclock.Clock, replica Replica, quotas QuotaLimiter, servers ServerSelector, detector PoisonDetector, upstream Upstream, journal Journal) *Proxy {
+func New(clock brclock.Clock, replica Replica, quotas QuotaLimiter, servers ServerSelector, detector PoisonDetector, memory BodyMemory, upstream Upstream, journal Journal) *Proxy {
 	return &Proxy{
 		clock: clock, replica: replica, quotas: quotas, servers: servers, poison: detector,
-		upstream: upstream, journal: journal, metrics: newMetrics(),
+		memory: memory, upstream: upstream, journal: journal, metrics: newMetrics(), maxRequests: math.MaxInt64,
 	}
 }
 
+// WithMaxRequests sets the maximum number of requests in progress and returns the proxy. Others
+// are refused at once. It must be called before the proxy is used.
+func (p *Proxy) WithMaxRequests(count int) *Proxy {
+	p.maxRequests = int64(count)
+	return p
+}
+
 // Collectors returns the proxy's metrics.
 func (p *Proxy) Collectors() []prometheus.Collector { return p.metrics.collectors() }
 
@@ -147,7 +160,11 @@
 // request was refused, or failed before a response was available.
 func (p *Proxy) Forward(ctx context.Context, request brrequest.Request, call brmessage.Call, writer Writer) Result {
 	j := &job{request: request, call: call, writer: writer, arrived: request.Arrived()}
-	result := p.forwardJob(ctx, j)
+	defer p.running.Add(-1)
+	result := refused(brrequest.ReasonTooManyRequests, j.overloadRetryAfter())
+	if p.running.Add(1) <= p.maxRequests {
+		result = p.forwardJob(ctx, j)
+	}
 	p.recordResult(j, result)
 	return result
 }
@@ -160,8 +177,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, j.deadline.Sub(p.clock.Now()))
 	defer cancel()
-	if err := j.readBody(); err != nil {
-		return refused(brrequest.ReasonCallerGone, 0)
+	defer p.releaseBody(j)
+	if result, ok := p.readBody(ctx, j); !ok {
+		return result
 	}
 	j.setFingerprint()
 	if remaining, ok := p.refusedAsPoison(j); ok {
