--- a/internal/decide/brmemory/budget.go
+++ b/internal/decide/brmemory/budget.go
@@ -20,6 +20,11 @@
 import "net/netip"
 
 const (
+	// runtimeFraction is the Go runtime's soft memory limit, as a fraction of a VM's memory.
+	// The rest is for the program's own pages, the kernel's buffers of its connections, and for
+	// memory in use that temporarily exceeds the limit: the runtime collects garbage for at
+	// most half of its time.
+	runtimeFraction = 0.6
 	// bodyDivisor divides a VM's memory to get the budget for bodies. The Go runtime's limit
 	// is 0.6 of the memory; a quarter for bodies leaves more than half of that limit for the
 	// program itself, connections and responses.
@@ -46,6 +51,9 @@
 	ipv6PrefixLength = 64
 )
 
+// RuntimeLimit returns the Go runtime's soft memory limit for a VM with a memory in bytes.
+func RuntimeLimit(memory int64) int64 { return int64(runtimeFraction * float64(memory)) }
+
 // BodyBytes returns the budget for bodies of a VM with a memory in bytes, 0 if unknown.
 func BodyBytes(memory int64) int64 {
 	if memory <= 0 {
--- a/internal/service/brentryvm/vm.go
+++ b/internal/service/brentryvm/vm.go
@@ -53,12 +53,6 @@
 	"bergamotroad.example/bergamotroad/internal/service/brshutdown"
 )
 
-// memoryLimitFraction is the Go runtime's soft memory limit, as a fraction of the VM's memory.
-// The rest is for the program's own pages, the kernel's buffers of its connections, and for
-// memory in use that temporarily exceeds the limit: the runtime collects garbage for at most
-// half of its time.
-const memoryLimitFraction = 0.6
-
 // VM is an entry VM.
 type VM struct {
 	config     Config
@@ -84,7 +78,7 @@
 // New returns a VM that listens on its addresses; it serves only once Run is called.
 func New(config Config, adapter Adapter, clock brclock.Clock, output io.Writer) (*VM, error) {
 	if config.memory > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(config.memory)))
+		debug.SetMemoryLimit(brmemory.RuntimeLimit(config.memory))
 	}
 	v := &VM{config: config, clock: clock, journal: brjournal.New(clock, config.self.Name(), output), guards: map[string]*brfront.Guard{}}
 	v.setBounds(config.bounds)
--- a/internal/service/brnode/node.go
+++ b/internal/service/brnode/node.go
@@ -17,12 +17,14 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"sync/atomic"
 
 	"github.com/charmbracelet/log"
 
 	"bergamotroad.example/bergamotroad/internal/core/brclock"
 	"bergamotroad.example/bergamotroad/internal/core/brduty"
+	"bergamotroad.example/bergamotroad/internal/decide/brmemory"
 	"bergamotroad.example/bergamotroad/internal/duty/bradmission"
 	"bergamotroad.example/bergamotroad/internal/duty/brbalancer"
 	"bergamotroad.example/bergamotroad/internal/duty/brcertificate"
@@ -69,6 +71,9 @@
 
 // New returns a VM whose fronts listen, but do not serve before Run.
 func New(settings brsettings.Settings, clock brclock.Clock, logger *log.Logger) (*Node, error) {
+	if memory := settings.Memory(); memory > 0 {
+		debug.SetMemoryLimit(brmemory.RuntimeLimit(memory))
+	}
 	n := &Node{settings: settings, clock: clock, logger: logger}
 	if err := n.addCertificates(); err != nil {
 		return nil, err
--- a/internal/service/brsettings/load.go
+++ b/internal/service/brsettings/load.go
@@ -16,6 +16,8 @@
 	maxPlatformTimeout     = time.Minute
 	defaultLogLevel        = "info"
 	maxNameBytes           = 128
+	minMemoryMB            = 64
+	maxMemoryMB            = 1 << 20
 )
 
 // Load reads and validates a settings file.
@@ -60,6 +62,7 @@
 		platform:  parsePlatform(s.section("platform")),
 		drain:     parseDrain(s.section("drain")),
 		logLevel:  parseLogLevel(s, "logLevel"),
+		memoryMB:  s.number("memoryMB", 0, minMemoryMB, maxMemoryMB),
 	}
 	checkAddresses(s, settings)
 	return settings
--- a/internal/service/brsettings/settings.go
+++ b/internal/service/brsettings/settings.go
@@ -22,6 +22,7 @@
 	platform  Platform
 	drain     Drain
 	logLevel  string
+	memoryMB  int64
 }
 
 // VM returns the name of the VM.
@@ -48,6 +49,9 @@
 // LogLevel returns the minimum level that is logged.
 func (s Settings) LogLevel() string { return s.logLevel }
 
+// Memory returns the memory of the VM in bytes, or 0 if it is not set.
+func (s Settings) Memory() int64 { return s.memoryMB << 20 }
+
 // Platform holds the URLs of the platform's services and the timeout of calls to them.
 type Platform struct {
 	table   string
--- a/tests/untrusted/serve_test.go
+++ b/tests/untrusted/serve_test.go
@@ -17,14 +17,14 @@
 )
 
 const (
-	// serveMemory is the bound for serve, whose settings have no limit of memory.
-	serveMemory      = 96 << 20 // bytes
+	serveMemoryMB    = 96
 	serveDescriptors = 1000
 )
 
 const serveSettings = `{
   "vm": "vm-1",
   "domain": "montevideo-a",
+  "memoryMB": %[5]d,
   "callers": {"address": "127.0.0.1:%[1]d", "plain": true,
     "limits": {"connections": 400, "connectionsPerAddress": 200, "requests": 200, "bodyGrace": "3s"}},
   "drain": {"lookups": "0s"},
@@ -61,11 +61,11 @@
 	server := newServer(t, "lookup-1")
 	ports := freePorts(t, 3)
 	path := filepath.Join(t.TempDir(), "settings.json")
-	require.NoError(t, os.WriteFile(path, fmt.Appendf(nil, serveSettings, ports[0], ports[1], ports[2], platform.URL), 0o600))
+	require.NoError(t, os.WriteFile(path, fmt.Appendf(nil, serveSettings, ports[0], ports[1], ports[2], platform.URL, serveMemoryMB), 0o600))
 	s := system{
 		process: startProcess(t, nil, "serve", path),
 		callers: fmt.Sprintf("127.0.0.1:%d", ports[0]), key: "Authorization: Bearer taller-norte-key",
-		maxMemory: serveMemory, maxDescriptors: serveDescriptors,
+		maxMemory: serveMemoryMB << 20, maxDescriptors: serveDescriptors,
 	}
 	resources := fmt.Sprintf(serveResources, ports[0], ports[1], server.Listener.Addr(), serverSlots)
 	s.apply(t, fmt.Sprintf("http://127.0.0.1:%d/v1/apply", ports[2]), resources)
