--- a/internal/service/brproxy/attempt.go
+++ b/internal/service/brproxy/attempt.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/go-faster/errors"
 
 	"bergamotroad.example/bergamotroad/internal/decide/brplacement"
 	"bergamotroad.example/bergamotroad/internal/duty/brassignment"
@@ -36,9 +35,6 @@
 	// noServerRetryAfter is the Retry-After time while no server is eligible for
 	// a request.
 	noServerRetryAfter = time.Second
-	// maxBufferedResponse is the largest response that is buffered before it is sent
-	// to the caller, so that the request can be retried if the response is truncated.
-	maxBufferedResponse = 256 << 10 // bytes
 	// probeTimeout bounds the probe of a server whose connection broke. It allows
 	// for a round trip between regions.
 	probeTimeout = 100 * time.Millisecond
@@ -245,12 +241,12 @@
 // the caller; a buffered 5xx response is not final, since a retry may succeed.
 func readResponse(ctx context.Context, j *job, response *brmessage.Response) (attemptResult, brrequest.OutcomeKind) {
 	defer func() { _ = response.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body(), maxBufferedResponse+1))
+	body, whole, err := j.bufferResponse(ctx, response.Body())
 	if err != nil {
-		return failUnknown(ctx, errors.Errorf("read response: %w", err))
+		return failUnknown(ctx, err)
 	}
 	result := Result{fate: brrequest.FateRan, status: response.Status()}
-	if len(body) > maxBufferedResponse {
+	if !whole {
 		return streamResponse(ctx, j, response, body, result)
 	}
 	buffered := &bufferedResponse{status: response.Status(), fields: response.Fields(), body: body}
--- a/internal/service/brproxy/body.go
+++ b/internal/service/brproxy/body.go
@@ -84,11 +84,11 @@
 // readBody buffers a body that fits into the memory for bodies, so that the request can be
 // retried, and leaves others to be streamed. It returns false and the result if the request
 // is refused, or if its body does not arrive.
-func (p *Proxy) readBody(ctx context.Context, j *job) (Result, bool) {
+func (j *job) readBody(ctx context.Context) (Result, bool) {
 	if j.call.Body() == nil || j.call.Size() == 0 {
 		return Result{}, true
 	}
-	verdict := p.beginBody(ctx, j)
+	verdict := j.beginBody(ctx)
 	if verdict == brmemory.Refuse {
 		return refused(brrequest.ReasonBodiesTooLarge, j.overloadRetryAfter()), false
 	}
@@ -100,7 +100,7 @@
 		limited.SetDeadline(j.deadline)
 		defer limited.SetDeadline(time.Time{})
 	}
-	ended, err := p.bufferBody(ctx, j)
+	ended, err := j.bufferBody(ctx)
 	switch {
 	case err != nil && (ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded)):
 		return refused(brrequest.ReasonDeadline, 0), false
@@ -109,22 +109,22 @@
 	case ended:
 		return Result{}, true
 	}
-	return p.streamRest(ctx, j)
+	return j.streamRest(ctx)
 }
 
 // beginBody reserves the memory of a body before it is read. Of a body of unknown size, it
 // reserves the first part.
-func (p *Proxy) beginBody(ctx context.Context, j *job) brmemory.Verdict {
+func (j *job) beginBody(ctx context.Context) brmemory.Verdict {
 	size := j.call.Size()
 	verdict := brmemory.Refuse
 	switch {
 	case size > maxBufferedBody:
-		verdict = p.memory.BeginStream(ctx, j.holder())
+		verdict = j.memory.BeginStream(ctx, j.holder())
 	case size < 0:
 		size = minPart
 		fallthrough
 	default:
-		verdict = p.memory.Begin(ctx, j.holder(), size)
+		verdict = j.memory.Begin(ctx, j.holder(), size)
 	}
 	switch verdict {
 	case brmemory.Buffer:
@@ -137,7 +137,7 @@
 
 // bufferBody reads parts until the body ends, exceeds maxBufferedBody or does not fit into
 // the memory for bodies.
-func (p *Proxy) bufferBody(ctx context.Context, j *job) (ended bool, err error) {
+func (j *job) bufferBody(ctx context.Context) (ended bool, err error) {
 	source, size := j.call.Body(), j.call.Size()
 	for !ended && err == nil {
 		if j.body.size == size {
@@ -148,7 +148,7 @@
 			next = min(next, size-j.body.size)
 		}
 		if more := j.body.size + next - j.body.reserved; more > 0 {
-			if j.body.size >= maxBufferedBody || !p.memory.Grow(ctx, j.holder(), j.body.reserved, more) {
+			if j.body.size >= maxBufferedBody || !j.memory.Grow(ctx, j.holder(), j.body.reserved, more) {
 				return false, nil
 			}
 			j.body.reserved += more
@@ -159,8 +159,8 @@
 }
 
 // streamRest makes the rest of a partly buffered body be streamed after its buffered parts.
-func (p *Proxy) streamRest(ctx context.Context, j *job) (Result, bool) {
-	if p.memory.BeginStream(ctx, j.holder()) == brmemory.Refuse {
+func (j *job) streamRest(ctx context.Context) (Result, bool) {
+	if j.memory.BeginStream(ctx, j.holder()) == brmemory.Refuse {
 		return refused(brrequest.ReasonBodiesTooLarge, j.overloadRetryAfter()), false
 	}
 	j.body.reserved += brmemory.StreamBytes
@@ -170,10 +170,10 @@
 	return Result{}, true
 }
 
-// releaseBody releases the memory that a request's body has reserved.
-func (p *Proxy) releaseBody(j *job) {
-	if j.body.reserved > 0 {
-		p.memory.End(j.holder(), j.body.reserved)
+// releaseMemory releases the memory that a request's body and response have reserved.
+func (j *job) releaseMemory() {
+	if reserved := j.body.reserved + j.responseReserved; reserved > 0 {
+		j.memory.End(j.holder(), reserved)
 	}
 }
 
--- a/internal/service/brproxy/body_test.go
+++ b/internal/service/brproxy/body_test.go
@@ -36,9 +36,9 @@
 
 func (f fakeMemory) End(holder brmemory.Holder, bytes int64) { f.budget.End(holder, bytes) }
 
-func newJob(source io.Reader, size int64) *job {
+func newJob(budget *brmemory.Budget, source io.Reader, size int64) *job {
 	request := brrequest.New("r", "POST", "/", netip.MustParseAddr("10.0.0.1"))
-	return &job{request: request, call: brmessage.NewCall("POST", "/", brmessage.NewFields(nil), source, size)}
+	return &job{memory: fakeMemory{budget}, request: request, call: brmessage.NewCall("POST", "/", brmessage.NewFields(nil), source, size)}
 }
 
 func randomBody(size int) []byte {
@@ -80,8 +80,8 @@
 				budget := brmemory.NewBudget(tested.budget)
 				otherHolder := brmemory.NewHolder(netip.MustParseAddr("10.0.0.2"), "")
 				require.Equal(t, brmemory.Buffer, budget.Begin(otherHolder, other))
-				p, j := &Proxy{memory: fakeMemory{budget}}, newJob(wrap(bytes.NewReader(data)), size)
-				result, ok := p.readBody(t.Context(), j)
+				j := newJob(budget, wrap(bytes.NewReader(data)), size)
+				result, ok := j.readBody(t.Context())
 				require.True(t, ok, result.Reason())
 				require.Equal(t, tested.streamed, j.body.streamed)
 				if !tested.streamed {
@@ -91,7 +91,7 @@
 				got, err := io.ReadAll(j.newCall().Body())
 				require.NoError(t, err)
 				require.Equal(t, sha256.Sum256(data), sha256.Sum256(got))
-				p.releaseBody(j)
+				j.releaseMemory()
 				require.EqualValues(t, other, budget.Used())
 			})
 		}
@@ -101,8 +101,8 @@
 // Guards against a body of unknown size that holds little and reserves much.
 func TestShortChunkedBodyReservesOnePart(t *testing.T) {
 	budget := brmemory.NewBudget(1 << 20)
-	p, j := &Proxy{memory: fakeMemory{budget}}, newJob(bytes.NewReader([]byte("short")), -1)
-	_, ok := p.readBody(t.Context(), j)
+	j := newJob(budget, bytes.NewReader([]byte("short")), -1)
+	_, ok := j.readBody(t.Context())
 	require.True(t, ok)
 	require.EqualValues(t, minPart, budget.Used())
 }
@@ -121,12 +121,12 @@
 			for _, size := range []int64{100_000, -1} {
 				budget := brmemory.NewBudget(1 << 20)
 				source := io.MultiReader(bytes.NewReader(randomBody(70_000)), iotest.ErrReader(tested.err))
-				p, j := &Proxy{memory: fakeMemory{budget}}, newJob(source, size)
-				result, ok := p.readBody(t.Context(), j)
+				j := newJob(budget, source, size)
+				result, ok := j.readBody(t.Context())
 				require.False(t, ok)
 				require.Equal(t, tested.reason, result.Reason())
 				require.Equal(t, brrequest.FateNotRun, result.Fate())
-				p.releaseBody(j)
+				j.releaseMemory()
 				require.Zero(t, budget.Used())
 			}
 		})
@@ -144,9 +144,9 @@
 // Guards against a buffered body that is awaited beyond the request's deadline.
 func TestBodyIsAwaitedUntilTheDeadline(t *testing.T) {
 	source := &deadlineBody{Reader: bytes.NewReader(randomBody(10))}
-	p, j := &Proxy{memory: fakeMemory{brmemory.NewBudget(1 << 20)}}, newJob(source, 10)
+	j := newJob(brmemory.NewBudget(1<<20), source, 10)
 	j.deadline = time.Unix(1000, 0)
-	_, ok := p.readBody(t.Context(), j)
+	_, ok := j.readBody(t.Context())
 	require.True(t, ok)
 	require.Equal(t, []time.Time{j.deadline, {}}, source.deadlines)
 }
@@ -154,11 +154,10 @@
 // Guards against a body that does not fit and is refused as if it had run.
 func TestBodyBeyondAnAddressesShareIsRefused(t *testing.T) {
 	budget := brmemory.NewBudget(1 << 20)
-	p := &Proxy{memory: fakeMemory{budget}}
-	first := newJob(bytes.NewReader(randomBody(500_000)), 500_000)
-	_, ok := p.readBody(t.Context(), first)
+	first := newJob(budget, bytes.NewReader(randomBody(500_000)), 500_000)
+	_, ok := first.readBody(t.Context())
 	require.True(t, ok)
-	result, ok := p.readBody(t.Context(), newJob(bytes.NewReader(randomBody(100_000)), 100_000))
+	result, ok := newJob(budget, bytes.NewReader(randomBody(100_000)), 100_000).readBody(t.Context())
 	require.False(t, ok)
 	require.Equal(t, brrequest.ReasonBodiesTooLarge, result.Reason())
 	require.Equal(t, brrequest.FateNotRun, result.Fate())
--- a/internal/service/brproxy/job.go
+++ b/internal/service/brproxy/job.go
@@ -32,14 +32,17 @@
 	service      string
 	deadline     time.Time
 	body         body
+	memory       BodyMemory
 	fingerprint  brrequest.Fingerprint
 	query        brplacement.Query
 	runs         int // servers that may have run the request
 	tries        int
 	choice       brplacement.Choice // of the latest attempt
-	version      uint64
-	policyAge    time.Duration
-	serversAge   time.Duration
+	// responseReserved is the memory reserved for the buffered response, in bytes.
+	responseReserved int64
+	version          uint64
+	policyAge        time.Duration
+	serversAge       time.Duration
 }
 
 // recordState records the version and the age of the state at the request's arrival, for
--- a/internal/service/brproxy/proxy.go
+++ b/internal/service/brproxy/proxy.go
@@ -159,7 +159,7 @@
 // Forward forwards a request and writes the response. It writes nothing if the
 // request was refused, or failed before a response was available.
 func (p *Proxy) Forward(ctx context.Context, request brrequest.Request, call brmessage.Call, writer Writer) Result {
-	j := &job{request: request, call: call, writer: writer, arrived: request.Arrived()}
+	j := &job{request: request, call: call, writer: writer, memory: p.memory, arrived: request.Arrived()}
 	defer p.running.Add(-1)
 	result := refused(brrequest.ReasonTooManyRequests, j.overloadRetryAfter())
 	if p.running.Add(1) <= p.maxRequests {
@@ -177,8 +177,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, j.deadline.Sub(p.clock.Now()))
 	defer cancel()
-	defer p.releaseBody(j)
-	if result, ok := p.readBody(ctx, j); !ok {
+	defer j.releaseMemory()
+	if result, ok := j.readBody(ctx); !ok {
 		return result
 	}
 	j.setFingerprint()
