--- a/internal/decide/brconnection/allotment.go
+++ b/internal/decide/brconnection/allotment.go
@@ -7,14 +7,16 @@
 	// memoryPerConnection is the memory that a caller's connection may need before its header
 	// is complete: buffers, stacks and a header of the largest size.
 	memoryPerConnection = 64 << 10 // bytes
-	// callerDivisor and otherDivisor divide the remaining descriptors into those for callers'
-	// connections and for those of each other front. At least a quarter is left for
-	// connections to servers.
-	callerDivisor = 2
-	otherDivisor  = 16
-	// requestDivisor divides the descriptors to get the requests in progress, each of which
-	// may need a connection to a server.
-	requestDivisor = 4
+	// callerShare, peerShare and otherShare are the parts of the remaining descriptors, in
+	// shareUnits, for the connections of callers, of other VMs and of each other front. A VM
+	// that others report to has up to three connections of each of them.
+	callerShare = 12
+	peerShare   = 8
+	otherShare  = 1
+	shareUnits  = 32
+	// requestShare is the part for requests in progress, each of which may need a connection to
+	// a server.
+	requestShare = 8
 	// addressDivisor divides the connections of a front into the most that one address gets.
 	addressDivisor = 2
 	// minConnections keeps a VM with very few descriptors usable.
@@ -35,18 +37,23 @@
 
 // Callers returns the maximum number of callers' connections.
 func (a Allotment) Callers() int {
-	count := a.files / callerDivisor
+	count := a.share(callerShare)
 	if a.memory > 0 {
 		count = min(count, int(a.memory/memoryPerConnection))
 	}
 	return max(count, minConnections)
 }
 
+// Peers returns the maximum number of connections of other VMs.
+func (a Allotment) Peers() int { return max(a.share(peerShare), minConnections) }
+
 // Others returns the maximum number of connections of each other front.
-func (a Allotment) Others() int { return max(a.files/otherDivisor, minConnections) }
+func (a Allotment) Others() int { return max(a.share(otherShare), minConnections) }
 
 // Requests returns the maximum number of callers' requests in progress.
-func (a Allotment) Requests() int { return max(a.files/requestDivisor, minConnections) }
+func (a Allotment) Requests() int { return max(a.share(requestShare), minConnections) }
+
+func (a Allotment) share(units int) int { return a.files * units / shareUnits }
 
 // PerAddress returns how many of a number of connections one address gets.
 func PerAddress(connections int) int { return max(connections/addressDivisor, 1) }
--- a/internal/service/brentryvm/fronts.go
+++ b/internal/service/brentryvm/fronts.go
@@ -51,10 +51,11 @@
 	callerLimits := newLimits(allotment.Callers(), brconnection.PerAddress(allotment.Callers()))
 	lookupLimits := newLimits(allotment.Others(), brconnection.PerAddress(allotment.Others()))
 	// Other VMs, and the platform's checks, may all have the same address.
+	peerLimits := newLimits(allotment.Peers(), allotment.Peers()).WithHeaders(peerHeaderBytes, peerHeaderTimeout, idleTimeout)
 	otherLimits := newLimits(allotment.Others(), allotment.Others()).WithHeaders(peerHeaderBytes, peerHeaderTimeout, idleTimeout)
 	fronts := []front{
 		{name: "callers", address: v.config.self.CallerAddress(), limits: callerLimits, handler: callers},
-		{name: "peers", address: v.config.self.PeerAddress(), limits: otherLimits, handler: brentry.NewSyncHandler(v)},
+		{name: "peers", address: v.config.self.PeerAddress(), limits: peerLimits, handler: brentry.NewSyncHandler(v)},
 		{name: "lookups", address: v.config.lookups, limits: lookupLimits, handler: factory.Lookups(v)},
 		{name: "checks", address: v.config.healthChecks, limits: otherLimits, handler: factory.Checks(v)},
 	}
