--- a/tests/untrusted/crowd_test.go
+++ b/tests/untrusted/crowd_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -168,7 +169,8 @@
 	_ = writeHeader(conn, s, "/large/", "Content-Length: 0")
 }
 
-// ordinaryRequest sends one small request and returns the status of the response.
+// ordinaryRequest sends one small request and returns the status of the response. The error
+// holds the text of a refusal.
 func ordinaryRequest(s system) (int, error) {
 	conn, err := dial(s.callers, ordinaryAddress)
 	if err != nil {
@@ -187,7 +189,10 @@
 		return 0, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	_, err = io.Copy(io.Discard, response.Body)
+	text, err := io.ReadAll(response.Body)
+	if err == nil && response.StatusCode != http.StatusOK {
+		err = errors.New(string(text))
+	}
 	return response.StatusCode, err
 }
 
