--- a/internal/service/brproxy/attempt.go
+++ b/internal/service/brproxy/attempt.go
@@ -221,17 +221,22 @@
 		return attemptResult{result: refused(brrequest.ReasonOverloaded, j.overloadRetryAfter()), err: err}, brrequest.OutcomeShed
 	case brbackend.IsErrNotSent(err) && ctx.Err() != nil:
 		return attemptResult{result: withContextReason(ctx, refused(brrequest.ReasonServerFailed, 0)), err: err}, brrequest.OutcomeCancelled
+	case brbackend.IsErrNotSent(err) && j.caller.failed.Load():
+		return attemptResult{result: refused(brrequest.ReasonCallerGone, 0), err: err}, brrequest.OutcomeCancelled
 	case brbackend.IsErrNotSent(err):
 		return attemptResult{result: refused(brrequest.ReasonOverloaded, j.overloadRetryAfter()), err: err}, brrequest.OutcomeNotSent
 	default:
-		return failUnknown(ctx, err)
+		return failUnknown(ctx, j, err)
 	}
 }
 
 // failUnknown returns the result of an attempt that may or may not have run.
-func failUnknown(ctx context.Context, err error) (attemptResult, brrequest.OutcomeKind) {
+func failUnknown(ctx context.Context, j *job, err error) (attemptResult, brrequest.OutcomeKind) {
 	result := withContextReason(ctx, Result{fate: brrequest.FateUnknown, reason: brrequest.ReasonServerFailed})
-	if ctx.Err() != nil {
+	if j.caller.failed.Load() && ctx.Err() == nil {
+		result.reason = brrequest.ReasonCallerGone
+	}
+	if ctx.Err() != nil || j.caller.failed.Load() {
 		return attemptResult{result: result, err: err}, brrequest.OutcomeCancelled
 	}
 	return attemptResult{result: result, err: err}, brrequest.OutcomeBroken
@@ -243,7 +248,7 @@
 	defer func() { _ = response.Close() }()
 	body, whole, err := j.bufferResponse(ctx, response.Body())
 	if err != nil {
-		return failUnknown(ctx, err)
+		return failUnknown(ctx, j, err)
 	}
 	result := Result{fate: brrequest.FateRan, status: response.Status()}
 	if !whole {
@@ -264,7 +269,7 @@
 	result.complete = err == nil
 	if err != nil {
 		result.reason = brrequest.ReasonServerFailed
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || j.caller.failed.Load() {
 			return attemptResult{result: result, final: true, err: err}, brrequest.OutcomeCancelled
 		}
 		return attemptResult{result: result, final: true, err: err}, brrequest.OutcomeBroken
--- a/internal/service/brproxy/body.go
+++ b/internal/service/brproxy/body.go
@@ -93,7 +93,7 @@
 		return refused(brrequest.ReasonBodiesTooLarge, j.overloadRetryAfter()), false
 	}
 	if verdict == brmemory.Stream {
-		j.body.streamed = true
+		j.stream(j.call.Body())
 		return Result{}, true
 	}
 	if limited, ok := j.call.Body().(deadlineSetter); ok {
@@ -164,12 +164,17 @@
 		return refused(brrequest.ReasonBodiesTooLarge, j.overloadRetryAfter()), false
 	}
 	j.body.reserved += brmemory.StreamBytes
-	j.body.streamed = true
-	rest := io.MultiReader(j.body.reader(), j.call.Body())
-	j.call = brmessage.NewCall(j.call.Method(), j.call.Target(), j.call.Fields(), rest, j.call.Size())
+	j.stream(io.MultiReader(j.body.reader(), j.call.Body()))
 	return Result{}, true
 }
 
+// stream makes a body be streamed from a source.
+func (j *job) stream(source io.Reader) {
+	j.body.streamed = true
+	tracked := callerBody{Reader: source, failure: &j.caller}
+	j.call = brmessage.NewCall(j.call.Method(), j.call.Target(), j.call.Fields(), tracked, j.call.Size())
+}
+
 // releaseMemory releases the memory that a request's body and response have reserved.
 func (j *job) releaseMemory() {
 	if reserved := j.body.reserved + j.responseReserved; reserved > 0 {
--- a/internal/service/brproxy/job.go
+++ b/internal/service/brproxy/job.go
@@ -32,6 +32,7 @@
 	service      string
 	deadline     time.Time
 	body         body
+	caller       callerFailure
 	memory       BodyMemory
 	fingerprint  brrequest.Fingerprint
 	query        brplacement.Query
--- a/internal/service/brproxy/proxy.go
+++ b/internal/service/brproxy/proxy.go
@@ -160,6 +160,7 @@
 // request was refused, or failed before a response was available.
 func (p *Proxy) Forward(ctx context.Context, request brrequest.Request, call brmessage.Call, writer Writer) Result {
 	j := &job{request: request, call: call, writer: writer, memory: p.memory, arrived: request.Arrived()}
+	j.writer = callerWriter{Writer: writer, failure: &j.caller}
 	defer p.running.Add(-1)
 	result := refused(brrequest.ReasonTooManyRequests, j.overloadRetryAfter())
 	if p.running.Add(1) <= p.maxRequests {
