--- a/internal/service/brentryvm/config.go
+++ b/internal/service/brentryvm/config.go
@@ -17,6 +17,7 @@
 	metrics      string
 	memory       int64
 	metering     brmeter.Terms
+	files        int
 }
 
 // NewConfig returns the config of a VM with the operators' settings and the region of
@@ -52,3 +53,9 @@
 	c.metering = terms
 	return c
 }
+
+// WithFiles returns the config with the number of descriptors that the process may open.
+func (c Config) WithFiles(count int) Config {
+	c.files = count
+	return c
+}
--- a/internal/service/brentryvm/vm.go
+++ b/internal/service/brentryvm/vm.go
@@ -26,6 +26,8 @@
 	"bergamotroad.example/bergamotroad/internal/core/brclock"
 	"bergamotroad.example/bergamotroad/internal/core/brduty"
 	"bergamotroad.example/bergamotroad/internal/core/brset"
+	"bergamotroad.example/bergamotroad/internal/decide/brconnection"
+	"bergamotroad.example/bergamotroad/internal/decide/brmemory"
 	"bergamotroad.example/bergamotroad/internal/decide/brpoison"
 	"bergamotroad.example/bergamotroad/internal/duty/braggregator"
 	"bergamotroad.example/bergamotroad/internal/duty/brallowance"
@@ -37,6 +39,7 @@
 	"bergamotroad.example/bergamotroad/internal/duty/brregistration"
 	"bergamotroad.example/bergamotroad/internal/duty/brreload"
 	"bergamotroad.example/bergamotroad/internal/duty/brreplicator"
+	"bergamotroad.example/bergamotroad/internal/duty/brreservation"
 	"bergamotroad.example/bergamotroad/internal/duty/brresult"
 	"bergamotroad.example/bergamotroad/internal/duty/brsyncer"
 	"bergamotroad.example/bergamotroad/internal/duty/brusagecounter"
@@ -46,17 +49,12 @@
 	"bergamotroad.example/bergamotroad/internal/model/brrecord"
 	"bergamotroad.example/bergamotroad/internal/peer/brentry"
 	"bergamotroad.example/bergamotroad/internal/peer/brregistry"
+	"bergamotroad.example/bergamotroad/internal/service/brfront"
 	"bergamotroad.example/bergamotroad/internal/service/brproxy"
 	"bergamotroad.example/bergamotroad/internal/service/brquotalimiter"
 	"bergamotroad.example/bergamotroad/internal/service/brshutdown"
 )
 
-const (
-	// memoryLimitFraction is the Go runtime's soft memory limit, as a fraction of the VM's
-	// memory.
-	memoryLimitFraction = 0.6
-)
-
 // VM is an entry VM.
 type VM struct {
 	config     Config
@@ -75,6 +73,7 @@
 	duties     []brduty.Runner
 	servers    []*http.Server
 	listeners  []net.Listener
+	guards     map[string]*brfront.Guard // by the name of the front
 	collectors []prometheus.Collector
 	closeConns func()
 	leaving    atomic.Bool
@@ -83,9 +82,9 @@
 // New returns a VM that listens on its addresses; it serves only once Run is called.
 func New(config Config, adapter Adapter, clock brclock.Clock, output io.Writer) (*VM, error) {
 	if config.memory > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(config.memory)))
+		debug.SetMemoryLimit(brmemory.RuntimeLimit(config.memory))
 	}
-	v := &VM{config: config, clock: clock, journal: brjournal.New(clock, config.self.Name(), output)}
+	v := &VM{config: config, clock: clock, journal: brjournal.New(clock, config.self.Name(), output), guards: map[string]*brfront.Guard{}}
 	v.setBounds(config.bounds)
 	v.replicator = brreplicator.New(clock, adapter.decoder, v.journal)
 	v.aggregator = braggregator.New(clock, config.self)
@@ -134,8 +133,12 @@
 	recorder := brresult.New(v.clock, adapter.registry, v.journal)
 	controller := brcanary.New(v.clock, v.config.self, v.Bounds, v.replicator, v.aggregator, assigner, recorder, v.journal)
 	v.duties = append(v.duties, detector.Duty(), assigner.Duty(), v.enforcer.Duty(), recorder.Duty(), controller.Duty())
+	reservations := brreservation.New(v.clock, brmemory.BodyBytes(v.config.memory), v.journal)
+	v.duties = append(v.duties, reservations.Duty())
+	v.collectors = append(v.collectors, reservations.Collectors()...)
 	limiter := brquotalimiter.New(v.clock, v.config.self.Name(), v.enforcer, v.syncer, v.client)
-	proxy := brproxy.New(v.clock, v.replicator, limiter, assigner, detector, adapter.upstream, v.journal)
+	proxy := brproxy.New(v.clock, v.replicator, limiter, assigner, detector, reservations, adapter.upstream, v.journal).
+		WithMaxRequests(brconnection.NewAllotment(v.config.files, v.config.memory).Requests())
 	if v.counter != nil {
 		proxy.SetUsage(v.counter)
 	}
--- a/internal/service/brproxy/attempt.go
+++ b/internal/service/brproxy/attempt.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/go-faster/errors"
 
 	"bergamotroad.example/bergamotroad/internal/decide/brplacement"
 	"bergamotroad.example/bergamotroad/internal/duty/brassignment"
@@ -36,9 +35,6 @@
 	// noServerRetryAfter is the Retry-After time while no server is eligible for
 	// a request.
 	noServerRetryAfter = time.Second
-	// maxBufferedResponse is the largest response that is buffered before it is sent
-	// to the caller, so that the request can be retried if the response is truncated.
-	maxBufferedResponse = 256 << 10 // bytes
 	// probeTimeout bounds the probe of a server whose connection broke. It allows
 	// for a round trip between regions.
 	probeTimeout = 100 * time.Millisecond
@@ -153,7 +149,7 @@
 }
 
 func (p *Proxy) canRetry(ctx context.Context, j *job, attempt attemptResult) bool {
-	if ctx.Err() != nil || j.tries >= maxTries || j.streamsBody {
+	if ctx.Err() != nil || j.tries >= maxTries || j.body.streamed {
 		return false
 	}
 	if _, poisoned := p.refusedAsPoison(j); poisoned {
@@ -234,17 +230,22 @@
 		return attemptResult{result: refused(brrequest.ReasonOverloaded, j.overloadRetryAfter()), err: err}, brrequest.OutcomeShed
 	case brbackend.IsErrNotSent(err) && ctx.Err() != nil:
 		return attemptResult{result: withContextReason(ctx, refused(brrequest.ReasonServerFailed, 0)), err: err}, brrequest.OutcomeCancelled
+	case brbackend.IsErrNotSent(err) && j.caller.failed.Load():
+		return attemptResult{result: refused(brrequest.ReasonCallerGone, 0), err: err}, brrequest.OutcomeCancelled
 	case brbackend.IsErrNotSent(err):
 		return attemptResult{result: refused(brrequest.ReasonOverloaded, j.overloadRetryAfter()), err: err}, brrequest.OutcomeNotSent
 	default:
-		return failUnknown(ctx, err)
+		return failUnknown(ctx, j, err)
 	}
 }
 
 // failUnknown returns the result of an attempt that may or may not have run.
-func failUnknown(ctx context.Context, err error) (attemptResult, brrequest.OutcomeKind) {
+func failUnknown(ctx context.Context, j *job, err error) (attemptResult, brrequest.OutcomeKind) {
 	result := withContextReason(ctx, Result{fate: brrequest.FateUnknown, reason: brrequest.ReasonServerFailed})
-	if ctx.Err() != nil {
+	if j.caller.failed.Load() && ctx.Err() == nil {
+		result.reason = brrequest.ReasonCallerGone
+	}
+	if ctx.Err() != nil || j.caller.failed.Load() {
 		return attemptResult{result: result, err: err}, brrequest.OutcomeCancelled
 	}
 	return attemptResult{result: result, err: err}, brrequest.OutcomeBroken
@@ -254,12 +255,12 @@
 // the caller; a buffered 5xx response is not final, since a retry may succeed.
 func readResponse(ctx context.Context, j *job, response *brmessage.Response) (attemptResult, brrequest.OutcomeKind) {
 	defer func() { _ = response.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body(), maxBufferedResponse+1))
+	body, whole, err := j.bufferResponse(ctx, response.Body())
 	if err != nil {
-		return failUnknown(ctx, errors.Errorf("read response: %w", err))
+		return failUnknown(ctx, j, err)
 	}
 	result := Result{fate: brrequest.FateRan, status: response.Status()}
-	if len(body) > maxBufferedResponse {
+	if !whole {
 		return streamResponse(ctx, j, response, body, result)
 	}
 	buffered := &bufferedResponse{status: response.Status(), fields: response.Fields(), body: body}
@@ -277,7 +278,7 @@
 	result.complete = err == nil
 	if err != nil {
 		result.reason = brrequest.ReasonServerFailed
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || j.caller.failed.Load() {
 			return attemptResult{result: result, final: true, err: err}, brrequest.OutcomeCancelled
 		}
 		return attemptResult{result: result, final: true, err: err}, brrequest.OutcomeBroken
--- a/internal/service/brproxy/attempt_test.go
+++ b/internal/service/brproxy/attempt_test.go
@@ -78,7 +78,7 @@
 				server := brfleet.NewServer("s-0", "lookup", "10.0.0.1:80").WithLocation("a-1", "a").WithSlots(2)
 				policy := brfleet.NewPolicy(1, brfleet.Limits{}, nil, nil, nil)
 				require.NoError(t, assigner.Views().Send(brfleet.NewView(policy, []brfleet.Server{server}, nil, nil, brset.New[string]())))
-				proxy := New(clock, nil, nil, assigner, ignoreEvents{}, upstream, ignoreEvents{})
+				proxy := New(clock, nil, nil, assigner, ignoreEvents{}, nil, upstream, ignoreEvents{})
 				registry := prometheus.NewPedanticRegistry()
 				registry.MustRegister(assigner.Collectors()...)
 				registry.MustRegister(proxy.Collectors()...)
