--- a/internal/decide/brplacement/fleet_load.go
+++ b/internal/decide/brplacement/fleet_load.go
@@ -36,9 +36,8 @@
 // With many VMs and servers, a VM sends to a server so rarely that what the server reported
 // last says nothing when it sends again, and that it can't tell a failing server by its own
 // requests. VMs therefore tell each other how many requests they have at each server and
-// how their requests ended there, for two kinds of services: those whose routes compete for
-// the same servers with different priorities, and those whose servers share their machines
-// with others and so fall behind without a change in the requests that one VM sends.
+// how their requests ended there, for the services whose routes compete for the same servers
+// with different priorities.
 type fleetLoad struct {
 	services map[string]bool                           // that exchange loads
 	reported map[brstatus.ServerKey]brstatus.ServerUse // by this VM
@@ -57,17 +56,6 @@
 	}
 }
 
-// observeReport begins to exchange the loads of a service whose servers share their machines.
-func (f *fleetLoad) observeReport(service string, outcome Outcome) {
-	load, reported := outcome.report.Load().Get()
-	if !reported {
-		return
-	}
-	if _, shared := load.Pace().Get(); shared {
-		f.services[service] = true
-	}
-}
-
 // ExchangesLoads reports whether any service's load is exchanged with other VMs.
 func (p *Placer) ExchangesLoads() bool { return len(p.fleetLoad.services) > 0 }
 
--- a/internal/decide/brplacement/placer.go
+++ b/internal/decide/brplacement/placer.go
@@ -349,7 +349,6 @@
 // recordAtServer records an outcome in the state of the server and of its service.
 func (p *Placer) recordAtServer(now time.Time, srv *server, outcome Outcome) {
 	srv.recordOutcome(now, outcome)
-	p.fleetLoad.observeReport(srv.registration.Service(), outcome)
 	if outcome.serverDown || outcome.kind == brrequest.OutcomeNotSent {
 		p.recordCrashes(now, srv)
 	}
