--- a/internal/decide/brplacement/fleet_load.go
+++ b/internal/decide/brplacement/fleet_load.go
@@ -109,15 +109,15 @@
 			own := p.fleetLoad.reported[srv.key]
 			srv.peerLoad.observeExchanged(now, math.Max(float64(use.Running())-float64(own.Running()), 0))
 			srv.fleetOutcomes = use
-			srv.failing = isFailing(use)
+			srv.failing = showsFailure(use)
 		}
 		s.ignoreCommonFailure()
 	}
 	p.resetUtilisations()
 }
 
-// isFailing reports whether the outcomes of all VMs show that a server can't serve.
-func isFailing(use brstatus.ServerUse) bool {
+// showsFailure reports whether the outcomes of all VMs show that a server can't serve.
+func showsFailure(use brstatus.ServerUse) bool {
 	bad := float64(use.Bad()) / outcomeScale
 	return bad >= minBadOutcomes && float64(use.Bad()) > maxBadFraction*float64(use.All())
 }
@@ -151,9 +151,14 @@
 	return maxTolerance - toleranceSpread*hashFraction("limit", query.request)
 }
 
+// isFailing reports whether a server fails by recent outcomes of all VMs.
+func (s *server) isFailing(now time.Time) bool {
+	return s.failing && s.peerLoad.isExchanged(now)
+}
+
 // isOut reports whether a server gets no requests from any VM for now.
 func (s *server) isOut(now time.Time) bool {
-	return s.registration.Draining() || s.evacuated || s.failing || s.paused(now)
+	return s.registration.Draining() || s.evacuated || s.isFailing(now) || s.paused(now)
 }
 
 // outcomeCounts counts outcomes at a server; the counts decay with outcomeHalfLife.
--- a/internal/decide/brplacement/fleet_load_test.go
+++ b/internal/decide/brplacement/fleet_load_test.go
@@ -114,6 +114,12 @@
 		p.SetFleetUses(start, reported)
 	}
 	require.LessOrEqual(t, requestsAt(placers, list[0], start), 2, "a few VMs find out when the server has recovered")
+	cutOff := start.Add(2 * time.Second)
+	require.Equal(t, 20, requestsAt(placers, list[0], cutOff), "VMs that hear nothing for a while decide on their own")
+	for _, p := range placers {
+		p.SetFleetUses(cutOff, reported)
+	}
+	require.LessOrEqual(t, requestsAt(placers, list[0], cutOff), 2)
 	later := start.Add(20 * time.Second)
 	recovered := map[brstatus.ServerKey]brstatus.ServerUse{}
 	for _, p := range placers {
--- a/internal/decide/brplacement/placer.go
+++ b/internal/decide/brplacement/placer.go
@@ -296,10 +296,11 @@
 	if window, limited := p.backoff.Window(srv.registration); limited && srv.running >= window {
 		return false
 	}
-	if srv.failing && !p.sendsToCold(srv) {
+	failing := srv.isFailing(now)
+	if failing && !p.sendsToCold(srv) {
 		return false
 	}
-	if srv.failing || srv.unreachable || srv.slow(s.latency) {
+	if failing || srv.unreachable || srv.slow(s.latency) {
 		return srv.running == 0 && srv.load(now) < slots
 	}
 	return srv.load(now)+1 <= slots*(1+maxQueue)+0.5
--- a/internal/decide/brplacement/server.go
+++ b/internal/decide/brplacement/server.go
@@ -64,7 +64,7 @@
 	outcomes     outcomeCounts
 	// fleetOutcomes is what all VMs together said last about the server.
 	fleetOutcomes brstatus.ServerUse
-	failing       bool            // by the outcomes of all VMs
+	failing       bool            // by the outcomes of all VMs, see isFailing
 	broken        []brokenRequest // by time
 }
 
