--- a/internal/decide/brplacement/placer.go
+++ b/internal/decide/brplacement/placer.go
@@ -214,8 +214,7 @@
 	if !p.isMember(srv, query, allowed) || srv.evacuated {
 		return false
 	}
-	ejected := srv.failures > 0 && srv.paused(now)
-	return !ejected && !slices.Contains(query.excluded, srv.registration.ID())
+	return !srv.ejected(now) && !slices.Contains(query.excluded, srv.registration.ID())
 }
 
 // pickFrom picks one of the servers of a pool by the placement rules.
--- a/internal/decide/brplacement/rank.go
+++ b/internal/decide/brplacement/rank.go
@@ -32,8 +32,7 @@
 	if srv.evacuated {
 		return braffinity.Evacuated
 	}
-	ejected := srv.failures > 0 && srv.paused(now)
-	if p.isQuiet(now, srv) || ejected || slices.Contains(query.excluded, srv.registration.ID()) {
+	if p.isQuiet(now, srv) || srv.ejected(now) || slices.Contains(query.excluded, srv.registration.ID()) {
 		return braffinity.Unavailable
 	}
 	return braffinity.Usable
--- a/internal/decide/brplacement/server.go
+++ b/internal/decide/brplacement/server.go
@@ -80,6 +80,9 @@
 
 func (s *server) paused(now time.Time) bool { return now.Before(s.pausedUntil) }
 
+// ejected reports whether the server gets no requests because it failed.
+func (s *server) ejected(now time.Time) bool { return s.failures > 0 && s.paused(now) }
+
 // pause stops requests to the server for at least the given time.
 func (s *server) pause(now time.Time, duration time.Duration) {
 	until := now.Add(duration)
