--- a/review/harness-2/deployment.go
+++ b/review/harness-2/deployment.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -79,9 +80,12 @@
 	settings   string
 	command    *exec.Cmd
 	exited     chan struct{}
-	startedAt  time.Time // when it was last started or got SIGTERM
+	startedAt  atomic.Int64 // when it was last started, in Unix nanoseconds
 }
 
+// startTime returns when the VM was last started.
+func (v *vm) startTime() time.Time { return time.Unix(0, v.startedAt.Load()) }
+
 var zones = []string{"mvd-a", "mvd-b"}
 
 // startVMs starts VMs alternately in two failure domains of one region.
@@ -137,7 +141,7 @@
 	if err := v.command.Start(); err != nil {
 		return err
 	}
-	v.startedAt = time.Now()
+	v.startedAt.Store(time.Now().UnixNano())
 	exited := make(chan struct{})
 	v.exited = exited
 	go func(command *exec.Cmd) {
--- a/review/harness-2/garble.go
+++ b/review/harness-2/garble.go
@@ -123,16 +123,24 @@
 	return request, nil
 }
 
-// configuration returns the operator's configuration with one route, service and tenant.
+// entryPrefix is the prefix of an unsafe route that each configuration has.
+const entryPrefix = "/entry/"
+
+// configuration returns the operator's configuration with one service, one tenant, a route of
+// the given kind and one of unsafe requests.
 func configuration(kind, service, prefix string, attempts int) map[string]any {
 	entry := func(kind, name string, spec map[string]any) map[string]any {
 		return map[string]any{"entry_kind": kind, "metadata": map[string]any{"name": name}, "spec": spec}
 	}
-	return map[string]any{"version": "00000007", "resources": []any{
-		entry("routes", "r-1", map[string]any{
+	route := func(name, kind, prefix string) map[string]any {
+		return entry("routes", name, map[string]any{
 			"host": "books.example", "prefix": prefix, "type": kind, "timeout_s": 4, "target_latency_s": 0.6, "priority": 1,
 			"service": service, "max_attempts": attempts, "public": false, "session_affinity": false, "allowed_regions": []any{},
-		}),
+		})
+	}
+	return map[string]any{"version": "00000007", "resources": []any{
+		route("r-1", kind, prefix),
+		route("r-2", "unsafe", entryPrefix),
 		entry("services", service, map[string]any{
 			"health_check_path": "/health", "max_connections": 390, "protocol": "h1", "tls": false, "cold_start_s": 3.0, "cold_per_s": 2.6,
 		}),
--- a/review/harness-2/poison.go
+++ b/review/harness-2/poison.go
@@ -17,6 +17,10 @@
 	// maxPoisonRetries is the number of retries that the rule allows.
 	maxPoisonRetries = 3
 	poisonPath       = "/look/cylinder-66"
+	// workTime is how long a server works on an ordinary request, and entryInterval the time
+	// between two unsafe requests of an ordinary caller.
+	workTime      = 200 * time.Millisecond
+	entryInterval = 50 * time.Millisecond
 )
 
 // arrival is a poison request at a server.
@@ -33,6 +37,7 @@
 	arrivals   []arrival
 	sentBy     map[string]*vm // by request
 	inTouch    map[string]bool
+	lost       []time.Time // when unsafe requests that a server had begun to run were lost
 }
 
 func (f *poisonFleet) start(host int) error {
@@ -40,7 +45,8 @@
 	handle := func(s *server, _ int, request *http.Request, _ []byte) answer {
 		id := request.Header.Get("X-Request-Id")
 		if request.RequestURI != poisonPath {
-			return answer{status: http.StatusOK, body: "found\n"}
+			time.Sleep(workTime)
+			return answer{status: http.StatusOK, body: "done\n"}
 		}
 		f.mutex.Lock()
 		f.arrivals = append(f.arrivals, arrival{id: id, at: time.Now()})
@@ -64,6 +70,42 @@
 	f.deployment.record.note("server at %s didn't come back", f.deployment.serverAddress(host))
 }
 
+// sendEntries sends unsafe requests of an ordinary caller to VMs that are ready until done is
+// closed, and notes those that end without the answer of a server.
+func (f *poisonFleet) sendEntries(done chan struct{}) {
+	d := f.deployment
+	for i := 0; ; i++ {
+		select {
+		case <-done:
+			return
+		case <-time.After(entryInterval):
+		}
+		v := d.vms[i%len(d.vms)]
+		if time.Since(v.startTime()) < contact {
+			continue
+		}
+		go func() {
+			id := fmt.Sprintf("entry%010d", i)
+			request, err := newRequest(http.MethodPost, "http://"+d.address(v.host, frontendPort)+entryPrefix+"1", id, "amount=1")
+			if err != nil {
+				return
+			}
+			response, err := client(false).Do(request)
+			if err != nil {
+				return
+			}
+			_ = response.Body.Close()
+			if response.StatusCode != http.StatusBadGateway {
+				return
+			}
+			d.record.note("caller gets 502 for unsafe %s: its server crashed", id)
+			f.mutex.Lock()
+			defer f.mutex.Unlock()
+			f.lost = append(f.lost, time.Now())
+		}()
+	}
+}
+
 // send sends a request to a VM and returns the status, or 0 without an answer.
 func (f *poisonFleet) send(v *vm, id, path string) int {
 	d := f.deployment
@@ -74,7 +116,7 @@
 	request.Body, request.ContentLength = nil, 0
 	f.mutex.Lock()
 	f.sentBy[id] = v
-	f.inTouch[id] = time.Since(v.startedAt) > contact
+	f.inTouch[id] = time.Since(v.startTime()) > contact
 	f.mutex.Unlock()
 	response, err := client(false).Do(request)
 	if err != nil {
@@ -101,6 +143,9 @@
 		return false, err
 	}
 	time.Sleep(contact + time.Second)
+	done := make(chan struct{})
+	defer close(done)
+	go f.sendEntries(done)
 	number := 0
 	round := func(name string) {
 		// The request comes again and again, at each machine in turn.
@@ -145,6 +190,13 @@
 			retries++
 		}
 	}
+	lost := 0
+	for _, at := range f.lost {
+		if at.After(third.Add(contact)) {
+			lost++
+		}
+	}
+	f.deployment.record.note("%d unsafe requests of other callers were lost at servers that crashed later than contact_s after the third crash", lost)
 	f.deployment.record.note("the request reached servers %d times, %d times later than contact_s after its third crash; %d are allowed", len(f.arrivals), retries, maxPoisonRetries)
 	return retries > maxPoisonRetries
 }
