--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -31,6 +31,7 @@
 var cases = map[string]runCase{
 	"garble": runGarble,
 	"poison": runPoison,
+	"path":   runPath,
 }
 
 func main() { os.Exit(run()) }
