Never take a reset for the end of a response without a length

What callers saw: a server responded to a long upload at once, with a 200 that had no length, sent a part of its body and reset the connection while the upload was being written.

Cause: the system reports a reset only once, to the first call that fails. During an upload that is often the write; a read after it returns a regular end, which is all that delimits a body without a length. net/http's transport closes the connection after a failed write, but a read between the two took the part for the whole.

Change: a connection whose reads return ErrReset in place of the end of the stream once a write has failed; at the end of the stream it ends a write in progress and looks at its result, since that write may have got the reset and not have returned. It is used for all connections to servers and to the platform's store. It works because the end of the stream without a reset leaves no failed write behind, and a reset that a read gets is an error already.

Ruled out: chunked responses and those with a length (their framing shows the truncation), serve (takes no body without a length for complete), responses that are reset while nothing is written (the read gets the reset).

--- a/internal/peer/brbackend/transport.go
+++ b/internal/peer/brbackend/transport.go
@@ -7,6 +7,8 @@
 	"sync"
 
 	"github.com/go-faster/errors"
+
+	"bergamotroad.example/bergamotroad/internal/peer/brnetwork"
 )
 
 // Transport is the HTTP transport for backend servers. It knows its connections by the
@@ -66,7 +68,7 @@
 	if err != nil {
 		return nil, errors.Errorf("dial %s: %w", address, err)
 	}
-	c := &connection{Conn: conn}
+	c := &connection{Conn: brnetwork.WithResetDetection(conn)}
 	c.onClose = func() { t.remove(address, c) }
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
--- a/internal/peer/brnetwork/dial.go
+++ b/internal/peer/brnetwork/dial.go
@@ -1,7 +1,8 @@
-// Package brnetwork makes TCP connections that detect an unresponsive peer.
+// Package brnetwork makes TCP connections that detect an unresponsive peer, and a reset that
+// would look like the regular end of a stream.
 //
-// Keepalive probes detect it while a connection waits for data, and the TCP user
-// timeout detects it while sent data is not acknowledged.
+// Keepalive probes detect an unresponsive peer while a connection waits for data, and the
+// TCP user timeout detects it while sent data is not acknowledged.
 //
 // # Usage
 //
@@ -51,11 +52,19 @@
 	return dialer.DialContext
 }
 
-// NewTransport returns an HTTP transport over connections of NewDial. It keeps up
-// to idleConnections idle connections for each address, each for the idle time.
+// NewTransport returns an HTTP transport over connections of NewDial with detection of
+// resets. It keeps up to idleConnections idle connections for each address, each for the idle
+// time.
 func NewTransport(timeout, userTimeout, idle time.Duration, idleConnections int) *http.Transport {
+	dial := NewDial(timeout, userTimeout)
 	return &http.Transport{
-		DialContext:         NewDial(timeout, userTimeout),
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return WithResetDetection(conn), nil
+		},
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idle,
