Refuse responses whose field names hold a blank

"Transfer-Encoding : chunked" gave 200 with the sizes of the chunks in the body; a line that began with a blank or a tab went to the caller within the value before it, the stamp; "X-Not-Executed : 1" with 200 went through as a success.

Cause: net/http's parser accepts blanks in names, as a name that nobody knows, and joins lines that begin with a blank or a tab. What delimits the body is then lost.

Change: the connections to servers check each head as it is received, and the read fails at the first byte that a field line must not have there, so that the parser never sees the end of such a head. The check knows where a head begins: on a new connection, after an interim response, and when net/http keeps the connection, which it reports before it reads on.

Ruled out: a check of the parsed names, which misses joined lines, and checking the values for what looks like a field, which sound values have.

--- a/internal/peer/brbackend/connection.go
+++ b/internal/peer/brbackend/connection.go
@@ -14,11 +14,12 @@
 var errWritesBlocked = errors.New("writes on the connection are blocked")
 
 // connection counts the bytes written to the network and can block further
-// writes. HTTP/1.1 uses it for one request at a time.
+// writes, and checks the heads of responses. HTTP/1.1 uses it for one request at a time.
 type connection struct {
 	net.Conn
 	onClose       func()
 	mutex         sync.Mutex
+	head          headChecker
 	writtenBytes  int64
 	writesBlocked bool
 	uses          int      // requests to which the connection was assigned
@@ -27,6 +28,17 @@
 	retired       bool     // to be closed as soon as it is not busy
 }
 
+// Read reads data. It fails at a malformed head.
+func (c *connection) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if malformed := c.head.check(data[:n]); malformed != nil {
+		return 0, malformed
+	}
+	return n, err
+}
+
 // Write writes data unless writes are blocked. The bytes are counted before they
 // are sent, and subtracted again if the write failed without sending any.
 func (c *connection) Write(data []byte) (int, error) {
@@ -79,9 +91,11 @@
 }
 
 // setIdle records that a use has ended and the connection is kept for another request. It
-// may be called late, when the connection is in use again.
+// may be called late, when the connection is in use again, but before what follows the
+// response is read.
 func (c *connection) setIdle(use int) {
 	c.mutex.Lock()
+	c.head.expectHead()
 	ended := use == c.uses
 	c.busy = c.busy && !ended
 	retired := c.retired && ended
--- /dev/null
+++ b/internal/peer/brbackend/head.go
@@ -0,0 +1,134 @@
+package brbackend
+
+import (
+	"fmt"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// errMalformedHead means that a server sent a head that is none in HTTP/1.1.
+type errMalformedHead struct {
+	what string
+	data byte
+}
+
+// Error implements error.
+func (e errMalformedHead) Error() string {
+	return fmt.Sprintf("malformed response head: %q %s", e.data, e.what)
+}
+
+// headPart is the part of the stream of responses to which the next byte belongs.
+type headPart int
+
+const (
+	partStatusLine headPart = iota
+	partLineStart           // of a field line, or of the empty line that ends the head
+	partName
+	partValue
+	partHeadEnd // after the carriage return of the empty line
+	partBody
+)
+
+const (
+	// statusAt is where the status stands in a status line, such as "HTTP/1.1 103".
+	statusAt = len("HTTP/1.1 ")
+	// statusEnd is the end of the status.
+	statusEnd = statusAt + len("103")
+)
+
+// headChecker checks the heads of the responses on a connection as they are received, since
+// net/http's parser accepts more than HTTP/1.1 allows: a field line whose name holds a blank
+// becomes a field of another name, and one that begins with a blank becomes a part of the
+// value before it. Where the line was meant to delimit the body, callers would get another
+// body than the server's.
+//
+// A part of a head may be passed to the parser before the error is found, but not its end.
+type headChecker struct {
+	part   headPart
+	status [statusEnd]byte // the start of the status line
+	size   int             // of the status line so far, up to statusEnd
+}
+
+// expectHead makes the next byte the first one of a response.
+func (h *headChecker) expectHead() { *h = headChecker{} }
+
+// check checks the next bytes on the connection.
+func (h *headChecker) check(data []byte) error {
+	for _, b := range data {
+		if h.part == partBody {
+			return nil
+		}
+		if err := h.checkByte(b); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (h *headChecker) checkByte(b byte) error {
+	switch h.part {
+	case partStatusLine:
+		h.addToStatusLine(b)
+	case partLineStart:
+		return h.startLine(b)
+	case partName:
+		return h.continueName(b)
+	case partValue:
+		if b == '\n' {
+			h.part = partLineStart
+		}
+	case partHeadEnd:
+		if b != '\n' {
+			return errMalformedHead{what: "after a carriage return", data: b}
+		}
+		h.endHead()
+	default:
+	}
+	return nil
+}
+
+func (h *headChecker) addToStatusLine(b byte) {
+	if b == '\n' {
+		h.part = partLineStart
+		return
+	}
+	if h.size < len(h.status) {
+		h.status[h.size] = b
+		h.size++
+	}
+}
+
+func (h *headChecker) startLine(b byte) error {
+	switch {
+	case b == '\n':
+		h.endHead()
+	case b == '\r':
+		h.part = partHeadEnd
+	case isNameByte(b):
+		h.part = partName
+	default:
+		return errMalformedHead{what: "at the start of a field line", data: b}
+	}
+	return nil
+}
+
+func (h *headChecker) continueName(b byte) error {
+	switch {
+	case b == ':':
+		h.part = partValue
+	case !isNameByte(b):
+		return errMalformedHead{what: "in the name of a field", data: b}
+	}
+	return nil
+}
+
+// endHead ends a head. Another one follows an interim response.
+func (h *headChecker) endHead() {
+	interim := h.status[statusAt] == '1' && string(h.status[statusAt:]) != "101"
+	h.expectHead()
+	if !interim {
+		h.part = partBody
+	}
+}
+
+func isNameByte(b byte) bool { return httpguts.IsTokenRune(rune(b)) }
