Refuse responses with a status or version that is none

Callers of entry got 502, but "not run" where the head said X-Not-Executed; callers of serve got 500, some with a body that broke off, and after that serve refused every request of the service. "HTTP/2.0 200 OK" and "HTTP/9.9" went through as successes in both; serve took such a body without a length for complete.

Cause: net/http's parser takes 000, 099 and +20 for statuses and any version for one of HTTP/1.1, and brbackend looked at neither. net/http's server panics at a status below 100, and serve keeps the slot of a request whose handler panics.

The parser never sees the end of another head, so neither the status nor the refusal in it counts.

--- a/internal/peer/brbackend/client.go
+++ b/internal/peer/brbackend/client.go
@@ -102,7 +102,7 @@
 }
 
 // Exchange sends a request once to an address and returns the unprocessed
-// response. The error is ErrNotSent or ErrOutcomeUnknown.
+// response, which is a final one. The error is ErrNotSent or ErrOutcomeUnknown.
 func (c *Client) Exchange(ctx context.Context, address string, call brmessage.Call) (*http.Response, error) {
 	tracker := &writeTracker{id: call.Fields().First(fieldRequestID)}
 	request, err := newRequest(httptrace.WithClientTrace(ctx, tracker.trace()), address, call)
@@ -117,7 +117,11 @@
 		return nil, ErrOutcomeUnknown{cause: err}
 	}
 	response.Body = &trackedBody{ReadCloser: response.Body, tracker: tracker}
-	if isSpliced(response.Header) {
+	switch {
+	case response.StatusCode < http.StatusOK:
+		Abandon(response)
+		return nil, ErrOutcomeUnknown{cause: errors.Errorf("status %d is not that of a final response", response.StatusCode)}
+	case isSpliced(response.Header):
 		Abandon(response)
 		return nil, ErrOutcomeUnknown{cause: errors.New("response header contains the head of another response")}
 	}
--- a/internal/peer/brbackend/head.go
+++ b/internal/peer/brbackend/head.go
@@ -30,23 +30,24 @@
 )
 
 const (
-	// statusAt is where the status stands in a status line, such as "HTTP/1.1 103".
-	statusAt = len("HTTP/1.1 ")
-	// statusEnd is the end of the status.
-	statusEnd = statusAt + len("103")
+	// statusLineForm is how a status line begins; a 9 stands for any digit.
+	statusLineForm = "HTTP/1.9 999"
+	// statusAt is where the status stands in it.
+	statusAt = len("HTTP/1.9 ")
 )
 
 // headChecker checks the heads of the responses on a connection as they are received, since
 // net/http's parser accepts more than HTTP/1.1 allows: a field line whose name holds a blank
 // becomes a field of another name, and one that begins with a blank becomes a part of the
 // value before it. Where the line was meant to delimit the body, callers would get another
-// body than the server's.
+// body than the server's. Any three characters that are read as a number are a status to it,
+// such as 000, and any version is one of HTTP/1.1.
 //
 // A part of a head may be passed to the parser before the error is found, but not its end.
 type headChecker struct {
 	part   headPart
-	status [statusEnd]byte // the start of the status line
-	size   int             // of the status line so far, up to statusEnd
+	status [len(statusLineForm)]byte // the start of the status line
+	size   int                       // of the status line so far, up to one byte more
 }
 
 // expectHead makes the next byte the first one of a response.
@@ -68,7 +69,7 @@
 func (h *headChecker) checkByte(b byte) error {
 	switch h.part {
 	case partStatusLine:
-		h.addToStatusLine(b)
+		return h.continueStatusLine(b)
 	case partLineStart:
 		return h.startLine(b)
 	case partName:
@@ -87,15 +88,32 @@
 	return nil
 }
 
-func (h *headChecker) addToStatusLine(b byte) {
-	if b == '\n' {
-		h.part = partLineStart
-		return
-	}
-	if h.size < len(h.status) {
+func (h *headChecker) continueStatusLine(b byte) error {
+	switch {
+	case h.size < len(statusLineForm):
+		if !isStatusLineByte(h.size, b) {
+			return errMalformedHead{what: "in the status line", data: b}
+		}
 		h.status[h.size] = b
 		h.size++
+	case b == '\n':
+		h.part = partLineStart
+	case h.size == len(statusLineForm):
+		if b != ' ' && b != '\r' {
+			return errMalformedHead{what: "after the status", data: b}
+		}
+		h.size++
+	}
+	return nil
+}
+
+// isStatusLineByte reports whether a status line may have a byte at a place. A status begins
+// with a digit from 1 on.
+func isStatusLineByte(place int, b byte) bool {
+	if statusLineForm[place] != '9' {
+		return b == statusLineForm[place]
 	}
+	return b >= '0' && b <= '9' && (place != statusAt || b != '0')
 }
 
 func (h *headChecker) startLine(b byte) error {
--- a/internal/peer/brbackend/response.go
+++ b/internal/peer/brbackend/response.go
@@ -27,10 +27,6 @@
 // decodeResponse converts an HTTP response to a brmessage.Response, or to the error
 // that it signals.
 func decodeResponse(response *http.Response) (*brmessage.Response, error) {
-	if response.StatusCode == http.StatusSwitchingProtocols {
-		_ = response.Body.Close()
-		return nil, ErrOutcomeUnknown{cause: errors.New("server switched protocols without being asked")}
-	}
 	if isShed(response) {
 		return nil, decodeShed(response)
 	}
--- a/internal/standin/brrawserver/malformed.go
+++ b/internal/standin/brrawserver/malformed.go
@@ -58,6 +58,27 @@
 	"blank before a refusal":              " X-Not-Executed: 1",
 }
 
+// malformedStarts are the first lines of responses that are none, by what is wrong with them.
+var malformedStarts = map[string]string{
+	"status 000":               "HTTP/1.1 000 Trouble",
+	"status 000 alone":         "HTTP/1.1 000",
+	"status 001":               "HTTP/1.1 001 Trouble",
+	"status 099":               "HTTP/1.1 099 Trouble",
+	"status with a sign":       "HTTP/1.1 +20 Trouble",
+	"negative status":          "HTTP/1.1 -20 Trouble",
+	"status of two digits":     "HTTP/1.1 20 Trouble",
+	"status of four digits":    "HTTP/1.1 2000 Trouble",
+	"status of letters":        "HTTP/1.1 abc Trouble",
+	"no status":                "HTTP/1.1",
+	"switch of protocols":      "HTTP/1.1 101 Switching Protocols",
+	"version 0.9":              "HTTP/0.9 200 OK",
+	"version 2.0":              "HTTP/2.0 200 OK",
+	"version 9.9":              "HTTP/9.9 200 OK",
+	"version in small letters": "http/1.1 200 OK",
+	"no version":               "200 OK",
+	"blank before the version": " HTTP/1.1 200 OK",
+}
+
 // MalformedResponses returns responses that callers must not get as responses.
 func MalformedResponses() []MalformedResponse {
 	all := []MalformedResponse{}
@@ -73,6 +94,11 @@
 		add(name+", after an interim response", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"+successLine+commonFields+line+"\r\n"+sizedBody)
 		add(name+", in an interim response", "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\n"+successLine+commonFields+sizedBody)
 	}
+	for name, line := range malformedStarts {
+		add(name, line+"\r\n"+commonFields+sizedBody)
+		add(name+", no length", line+"\r\n"+commonFields+"\r\nwhole")
+		add(name+", refusal", line+"\r\nX-Not-Executed: 1\r\nBergamotroad-Shed: 1\r\n"+commonFields+sizedBody)
+	}
 	for _, blank := range []string{" ", "\t"} {
 		kind := fmt.Sprintf("%q", blank)
 		add("length with "+kind+" before the colon", successLine+commonFields+"Content-Length"+blank+": 5\r\n\r\nwhole, and more")
