Refuse chunks in HTTP/1.0

What callers saw: a server answered in HTTP/1.0 with a body in chunks, and callers of entry got 200 with the sizes of the chunks within the body. serve cut such a response off.

Cause: HTTP/1.0 has no transfer codings; net/http's parser drops the field and takes the body for one without a length.

Change: the check of heads refuses the field in HTTP/1.0, as HTTP asks of a client. Found while looking for what else lets a parser miss the end that a server gave its body; two lengths, lengths with a sign and unknown codings were refused before and stay in the table.

--- a/internal/peer/brbackend/head.go
+++ b/internal/peer/brbackend/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -32,8 +33,12 @@
 const (
 	// statusLineForm is how a status line begins; a 9 stands for any digit.
 	statusLineForm = "HTTP/1.9 999"
+	// minorAt is where the second part of the version stands in it.
+	minorAt = len("HTTP/1.")
 	// statusAt is where the status stands in it.
 	statusAt = len("HTTP/1.9 ")
+	// codingName is the name of the field that says that a body comes in chunks.
+	codingName = "transfer-encoding"
 )
 
 // headChecker checks the heads of the responses on a connection as they are received, since
@@ -41,13 +46,16 @@
 // becomes a field of another name, and one that begins with a blank becomes a part of the
 // value before it. Where the line was meant to delimit the body, callers would get another
 // body than the server's. Any three characters that are read as a number are a status to it,
-// such as 000, and any version is one of HTTP/1.1.
+// such as 000, and any version is one of HTTP/1.1. In HTTP/1.0, which has no chunks, it would
+// pass on their sizes within the body.
 //
 // A part of a head may be passed to the parser before the error is found, but not its end.
 type headChecker struct {
 	part   headPart
 	status [len(statusLineForm)]byte // the start of the status line
 	size   int                       // of the status line so far, up to one byte more
+	name   [len(codingName)]byte     // the start of the current name
+	length int                       // of the current name
 }
 
 // expectHead makes the next byte the first one of a response.
@@ -123,7 +131,8 @@
 	case b == '\r':
 		h.part = partHeadEnd
 	case isNameByte(b):
-		h.part = partName
+		h.part, h.length = partName, 0
+		h.addToName(b)
 	default:
 		return errMalformedHead{what: "at the start of a field line", data: b}
 	}
@@ -132,14 +141,30 @@
 
 func (h *headChecker) continueName(b byte) error {
 	switch {
+	case b == ':' && h.status[minorAt] == '0' && h.isCoding():
+		return errMalformedHead{what: "after the name of a transfer coding in HTTP/1.0", data: b}
 	case b == ':':
 		h.part = partValue
-	case !isNameByte(b):
+	case isNameByte(b):
+		h.addToName(b)
+	default:
 		return errMalformedHead{what: "in the name of a field", data: b}
 	}
 	return nil
 }
 
+func (h *headChecker) addToName(b byte) {
+	if h.length < len(h.name) {
+		h.name[h.length] = b
+	}
+	h.length++
+}
+
+// isCoding reports whether the current name is codingName.
+func (h *headChecker) isCoding() bool {
+	return h.length == len(h.name) && strings.EqualFold(string(h.name[:]), codingName)
+}
+
 // endHead ends a head. Another one follows an interim response.
 func (h *headChecker) endHead() {
 	interim := h.status[statusAt] == '1' && string(h.status[statusAt:]) != "101"
--- a/internal/peer/brbackend/head_test.go
+++ b/internal/peer/brbackend/head_test.go
@@ -49,6 +49,20 @@
 	})
 }
 
+// HTTP/1.0 has no transfer codings, whatever the case of the field's name.
+func TestTransferCodingIsRefusedInHTTP10(t *testing.T) {
+	for name, refused := range map[string]bool{
+		"Transfer-Encoding": true, "transfer-encoding": true, "TRANSFER-ENCODING": true,
+		"Transfer-Encodin": false, "Transfer-Encodings": false, "X-Transfer-Encoding": false,
+	} {
+		for minor, known := range map[string]bool{"0": refused, "1": false} {
+			checker := headChecker{}
+			err := checker.check([]byte("HTTP/1." + minor + " 200 OK\r\nServer: a\r\n" + name + ": chunked\r\n\r\n"))
+			require.Equal(t, known, err != nil, "%s in HTTP/1.%s: %v", name, minor, err)
+		}
+	}
+}
+
 // What net/http's server writes is accepted.
 func TestHeadsOfSoundServersAreAccepted(t *testing.T) {
 	header := http.Header{"X-Empty": {""}, "Set-Cookie": {"a=b; c", "d: e"}, "X-Tab": {"\ta\tb"}, "X-!#$%&'*+.^_`|~9": {"ö"}}
--- a/internal/standin/brrawserver/malformed.go
+++ b/internal/standin/brrawserver/malformed.go
@@ -106,6 +106,7 @@
 		add("chunks with "+kind+" before the colon", successLine+commonFields+"Transfer-Encoding"+blank+": chunked\r\n"+chunkedBody)
 		add("chunks with "+kind+" before the name", successLine+commonFields+blank+"Transfer-Encoding: chunked\r\n"+chunkedBody)
 	}
+	add("chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\n"+commonFields+"Transfer-Encoding: chunked\r\n"+chunkedBody)
 	add("two lengths", successLine+commonFields+"Content-Length: 4\r\n"+sizedBody)
 	add("length with a sign", successLine+commonFields+"Content-Length: +5\r\n\r\nwhole")
 	add("unknown transfer coding", successLine+commonFields+"Transfer-Encoding: trouble\r\n"+chunkedBody)
