Bound the number of fields of a server's head

Cause: net/http's parser bounds the bytes of a head, not its fields.

Change: the check of heads refuses the 257th field; heads of the platform's store are bounded by 64 KiB in place of net/http's 10 MB. Sound servers send a few dozen fields at most.

--- a/internal/peer/brbackend/head.go
+++ b/internal/peer/brbackend/head.go
@@ -7,7 +7,8 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// errMalformedHead means that a server sent a head that is none in HTTP/1.1.
+// errMalformedHead means that a server sent a head that is none in HTTP/1.1, or one with too
+// many fields.
 type errMalformedHead struct {
 	what string
 	data byte
@@ -37,6 +38,9 @@
 	minorAt = len("HTTP/1.")
 	// statusAt is where the status stands in it.
 	statusAt = len("HTTP/1.9 ")
+	// maxFields is the largest number of fields of a head. However short, each one takes
+	// about a hundred bytes once it is parsed.
+	maxFields = 256
 	// codingName is the name of the field that says that a body comes in chunks.
 	codingName = "transfer-encoding"
 )
@@ -47,7 +51,7 @@
 // value before it. Where the line was meant to delimit the body, callers would get another
 // body than the server's. Any three characters that are read as a number are a status to it,
 // such as 000, and any version is one of HTTP/1.1. In HTTP/1.0, which has no chunks, it would
-// pass on their sizes within the body.
+// pass on their sizes within the body. It has no bound for the number of fields.
 //
 // A part of a head may be passed to the parser before the error is found, but not its end.
 type headChecker struct {
@@ -56,6 +60,7 @@
 	size   int                       // of the status line so far, up to one byte more
 	name   [len(codingName)]byte     // the start of the current name
 	length int                       // of the current name
+	fields int                       // so far
 }
 
 // expectHead makes the next byte the first one of a response.
@@ -130,11 +135,14 @@
 		h.endHead()
 	case b == '\r':
 		h.part = partHeadEnd
-	case isNameByte(b):
+	case !isNameByte(b):
+		return errMalformedHead{what: "at the start of a field line", data: b}
+	case h.fields == maxFields:
+		return errMalformedHead{what: fmt.Sprintf("after %d fields", maxFields), data: b}
+	default:
 		h.part, h.length = partName, 0
+		h.fields++
 		h.addToName(b)
-	default:
-		return errMalformedHead{what: "at the start of a field line", data: b}
 	}
 	return nil
 }
--- a/internal/peer/brbackend/head_test.go
+++ b/internal/peer/brbackend/head_test.go
@@ -63,6 +63,15 @@
 	}
 }
 
+// A head that is short in bytes may take a lot of memory once it is parsed.
+func TestFieldsOfHeadAreBounded(t *testing.T) {
+	for fields, accepted := range map[int]bool{1: true, maxFields: true, maxFields + 1: false} {
+		checker := headChecker{}
+		err := checker.check([]byte("HTTP/1.1 200 OK\r\n" + strings.Repeat("a:\r\n", fields) + "\r\n"))
+		require.Equal(t, accepted, err == nil, "%d fields: %v", fields, err)
+	}
+}
+
 // What net/http's server writes is accepted.
 func TestHeadsOfSoundServersAreAccepted(t *testing.T) {
 	header := http.Header{"X-Empty": {""}, "Set-Cookie": {"a=b; c", "d: e"}, "X-Tab": {"\ta\tb"}, "X-!#$%&'*+.^_`|~9": {"ö"}}
--- a/internal/peer/brnetwork/dial.go
+++ b/internal/peer/brnetwork/dial.go
@@ -26,6 +26,10 @@
 	probeIdle     = time.Second
 	probeInterval = time.Second
 	probeCount    = 2
+
+	// maxResponseHeaderBytes bounds the head of a response. Once it is parsed, a head of short
+	// fields takes a multiple of its size.
+	maxResponseHeaderBytes = 64 << 10
 )
 
 // DialFunc opens a connection.
@@ -65,8 +69,9 @@
 			}
 			return WithResetDetection(conn), nil
 		},
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: idleConnections,
-		IdleConnTimeout:     idle,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    idleConnections,
+		IdleConnTimeout:        idle,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}
 }
--- a/tests/untrusted/entry_test.go
+++ b/tests/untrusted/entry_test.go
@@ -57,12 +57,21 @@
 		storeServer.CloseClientConnections()
 		_ = storeServer.Config.Close()
 	})
-	server := newServer(t, "i-1")
-	store.Put("servers", "i-1", fmt.Sprintf(`{"address":%q,"born":1,"info":{"service":"lookup","version":"v1","zone":"n-a","max_concurrency":%d},"status":{"state":"ready","sequence":1,"cold_remaining_s":0}}`,
-		server.Listener.Addr(), serverSlots))
+	for id, server := range map[string]struct {
+		service string
+		address net.Addr
+	}{
+		"i-1": {service: "lookup", address: newServer(t, "i-1").Listener.Addr()},
+		"i-2": {service: "endless", address: newEndlessServer(t)},
+	} {
+		store.Put("servers", id, fmt.Sprintf(`{"address":%q,"born":1,"info":{"service":%q,"version":"v1","zone":"n-a","max_concurrency":%d},"status":{"state":"ready","sequence":1,"cold_remaining_s":0}}`,
+			server.address, server.service, serverSlots))
+	}
 	store.Put("op", "config", `{"version":"00000001","resources":[
 	{"entry_kind":"routes","metadata":{"name":"r-1"},"spec":{"host":"depot.example","prefix":"/","type":"unsafe","timeout_s":60,"target_latency_s":20,"priority":1,"service":"lookup","max_attempts":2,"public":true,"session_affinity":false,"allowed_regions":[]}},
+	{"entry_kind":"routes","metadata":{"name":"r-2"},"spec":{"host":"depot.example","prefix":"/endless/","type":"unsafe","timeout_s":60,"target_latency_s":20,"priority":1,"service":"endless","max_attempts":2,"public":true,"session_affinity":false,"allowed_regions":[]}},
 	{"entry_kind":"services","metadata":{"name":"lookup"},"spec":{"health_check_path":"/health","cold_per_s":2.6}},
+	{"entry_kind":"services","metadata":{"name":"endless"},"spec":{"health_check_path":"/health","cold_per_s":2.6}},
 	{"entry_kind":"limits","metadata":{},"spec":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":3,"idle_timeout_s":15}}]}`)
 	vm := brstandin.NewVM("vm-1", "127.0.0.1", "n-a", map[string]string{"n-a": "north"}, freePorts(t, 4)).
 		WithStore(storeServer.Listener.Addr().String())
--- a/tests/untrusted/serve_test.go
+++ b/tests/untrusted/serve_test.go
@@ -42,7 +42,10 @@
   {"kind": "key", "name": "taller-norte-1", "spec": {"organisation": "taller-norte", "hash": "c9eecf75560250e546f1b96bacae9730e2a42a4fa467df60162fcda8f75cccc9"}},
   {"kind": "service", "name": "lookup"},
   {"kind": "server", "name": "lookup-1", "spec": {"service": "lookup", "domain": "montevideo-a", "address": "%[3]s", "slots": %[4]d}},
-  {"kind": "route", "name": "all", "spec": {"service": "lookup", "pathPrefix": "/"}}
+  {"kind": "route", "name": "all", "spec": {"service": "lookup", "pathPrefix": "/"}},
+  {"kind": "service", "name": "endless"},
+  {"kind": "server", "name": "endless-1", "spec": {"service": "endless", "domain": "montevideo-a", "address": "%[5]s", "slots": %[4]d}},
+  {"kind": "route", "name": "endless", "spec": {"service": "endless", "pathPrefix": "/endless"}}
 ]`
 
 // startServe starts a VM of serve with a platform and a backend server.
@@ -67,7 +70,7 @@
 		callers: fmt.Sprintf("127.0.0.1:%d", ports[0]), key: "Authorization: Bearer taller-norte-key",
 		maxMemory: serveMemoryMB << 20, maxDescriptors: serveDescriptors,
 	}
-	resources := fmt.Sprintf(serveResources, ports[0], ports[1], server.Listener.Addr(), serverSlots)
+	resources := fmt.Sprintf(serveResources, ports[0], ports[1], server.Listener.Addr(), serverSlots, newEndlessServer(t))
 	s.apply(t, fmt.Sprintf("http://127.0.0.1:%d/v1/apply", ports[2]), resources)
 	return s
 }
--- a/tests/untrusted/untrusted_test.go
+++ b/tests/untrusted/untrusted_test.go
@@ -1,6 +1,6 @@
 // Package untrusted runs the program as a process, connects clients to it that try to make it
-// grow, and checks that the process stays within fixed bounds and serves other callers
-// afterwards.
+// grow, or get responses that do, and checks that the process stays within fixed bounds and
+// serves other callers afterwards.
 //
 // # Usage
 //
@@ -71,7 +71,7 @@
 	return m.Run()
 }
 
-// cases are the ways in which clients try to make a process grow.
+// cases are the ways in which clients, and a faulty server, try to make a process grow.
 var cases = []struct {
 	name   string
 	attack func(c *crowd)
@@ -82,6 +82,11 @@
 	{"chunks of one byte", func(c *crowd) { c.addAll(senders, sendSmallChunks) }},
 	{"incomplete headers", func(c *crowd) { c.addAll(holders, sendHalfHeader) }},
 	{"responses not read", func(c *crowd) { c.addAll(senders, ignoreResponse) }},
+	{"heads of many fields", func(c *crowd) { c.addAll(senders, receive("short-fields")) }},
+	{"heads without end", func(c *crowd) { c.receiveAll("fields", "same-field", "line", "value", "interim", "no-response") }},
+	{"bodies without end", func(c *crowd) {
+		c.receiveAll("body", "chunks", "small-chunks", "huge-chunk", "extension", "trailers", "huge-length", "after-response")
+	}},
 	{"all while connections are reset", func(c *crowd) {
 		c.resetAll(resetters)
 		for _, act := range []action{sendSized, sendLargeChunks, sendSmallChunks, sendHalfHeader, ignoreResponse} {
@@ -99,12 +104,12 @@
 	maxDescriptors int
 }
 
-// Guards against clients that make an entry VM run out of memory or descriptors.
+// Guards against clients and servers that make an entry VM run out of memory or descriptors.
 func TestEntryStaysWithinItsBounds(t *testing.T) {
 	runCases(t, startEntry)
 }
 
-// Guards against clients that make a VM of serve run out of memory or descriptors.
+// Guards against clients and servers that make a VM of serve run out of memory or descriptors.
 func TestServeStaysWithinItsBounds(t *testing.T) {
 	runCases(t, startServe)
 }
