--- a/internal/peer/brbackend/malformed_test.go
+++ b/internal/peer/brbackend/malformed_test.go
@@ -13,7 +13,7 @@
 // A response that is none in HTTP/1.1 must not be passed on, and must not tell that its
 // request has not run, whether its connection is new or kept.
 func TestMalformedResponseIsNoResponse(t *testing.T) {
-	for _, malformed := range brrawserver.MalformedResponses() {
+	for _, malformed := range brrawserver.MalformedResponses("", brbackend.FieldShed+": 1") {
 		t.Run(malformed.Name(), func(t *testing.T) {
 			server, err := brrawserver.Start(func(conn *brrawserver.Conn) {
 				for {
--- a/internal/standin/brrawserver/malformed.go
+++ b/internal/standin/brrawserver/malformed.go
@@ -1,7 +1,10 @@
 package brrawserver
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 )
 
@@ -18,44 +21,41 @@
 func (m MalformedResponse) Text(id string) string { return strings.ReplaceAll(m.text, "{id}", id) }
 
 const (
-	// commonFields are what servers set in each response: {id} stands for the request's
-	// identifier.
-	commonFields = "X-Request-Id: {id}\r\nX-Server-Stamp: odd\r\n"
-	sizedBody    = "Content-Length: 5\r\n\r\nwhole"
-	chunkedBody  = "\r\n5\r\nwhole\r\n0\r\n\r\n"
-	successLine  = "HTTP/1.1 200 OK\r\n"
+	// idField is a field of each response: {id} stands for the request's identifier.
+	idField     = "X-Request-Id: {id}\r\n"
+	sizedBody   = "Content-Length: 5\r\n\r\nwhole"
+	chunkedBody = "\r\n5\r\nwhole\r\n0\r\n\r\n"
+	successLine = "HTTP/1.1 200 OK\r\n"
 )
 
 // malformedLines are field lines that are none, by what is wrong with them.
 var malformedLines = map[string]string{
-	"blank before the colon":              "X-Trouble : 1",
-	"blank in a name":                     "X Trouble: 1",
-	"blank before a name":                 " X-Trouble: 1",
-	"tab before the colon":                "X-Trouble\t: 1",
-	"tab in a name":                       "X\tTrouble: 1",
-	"tab before a name":                   "\tX-Trouble: 1",
-	"blanks for a name":                   "  : 1",
-	"line of blanks":                      "   ",
-	"no name":                             ": 1",
-	"no colon":                            "X-Trouble",
-	"null byte in a name":                 "X-\x00Trouble: 1",
-	"null byte before a name":             "\x00X-Trouble: 1",
-	"control byte in a name":              "X-\x01Trouble: 1",
-	"escape in a name":                    "X-\x1bTrouble: 1",
-	"form feed in a name":                 "X-\x0cTrouble: 1",
-	"vertical tab before the colon":       "X-Trouble\x0b: 1",
-	"carriage return in a name":           "X-\rTrouble: 1",
-	"carriage return before the colon":    "X-Trouble\r: 1",
-	"carriage return before a name":       "\rX-Trouble: 1",
-	"delete in a name":                    "X-\x7fTrouble: 1",
-	"byte above ASCII in a name":          "X-\xa0Trouble: 1",
-	"letter above ASCII in a name":        "X-Tröuble: 1",
-	"delimiter in a name":                 "X-(Trouble): 1",
-	"control byte in a value":             "X-Trouble: \x011",
-	"null byte in a value":                "X-Trouble: \x00",
-	"carriage return in a value":          "X-Trouble: 1\r2",
-	"blank before the colon of a refusal": "X-Not-Executed : 1",
-	"blank before a refusal":              " X-Not-Executed: 1",
+	"blank before the colon":           "X-Trouble : 1",
+	"blank in a name":                  "X Trouble: 1",
+	"blank before a name":              " X-Trouble: 1",
+	"tab before the colon":             "X-Trouble\t: 1",
+	"tab in a name":                    "X\tTrouble: 1",
+	"tab before a name":                "\tX-Trouble: 1",
+	"blanks for a name":                "  : 1",
+	"line of blanks":                   "   ",
+	"no name":                          ": 1",
+	"no colon":                         "X-Trouble",
+	"null byte in a name":              "X-\x00Trouble: 1",
+	"null byte before a name":          "\x00X-Trouble: 1",
+	"control byte in a name":           "X-\x01Trouble: 1",
+	"escape in a name":                 "X-\x1bTrouble: 1",
+	"form feed in a name":              "X-\x0cTrouble: 1",
+	"vertical tab before the colon":    "X-Trouble\x0b: 1",
+	"carriage return in a name":        "X-\rTrouble: 1",
+	"carriage return before the colon": "X-Trouble\r: 1",
+	"carriage return before a name":    "\rX-Trouble: 1",
+	"delete in a name":                 "X-\x7fTrouble: 1",
+	"byte above ASCII in a name":       "X-\xa0Trouble: 1",
+	"letter above ASCII in a name":     "X-Tröuble: 1",
+	"delimiter in a name":              "X-(Trouble): 1",
+	"control byte in a value":          "X-Trouble: \x011",
+	"null byte in a value":             "X-Trouble: \x00",
+	"carriage return in a value":       "X-Trouble: 1\r2",
 }
 
 // malformedStarts are the first lines of responses that are none, by what is wrong with them.
@@ -79,36 +79,44 @@
 	"blank before the version": " HTTP/1.1 200 OK",
 }
 
-// MalformedResponses returns responses that callers must not get as responses.
-func MalformedResponses() []MalformedResponse {
+// MalformedResponses returns responses that callers must not get as responses, in the order of
+// their names. Their heads hold fields, whole lines that servers set in each response; refusal
+// is the field by which servers refuse requests.
+func MalformedResponses(fields, refusal string) []MalformedResponse {
 	all := []MalformedResponse{}
 	add := func(name, text string) { all = append(all, MalformedResponse{name: name, text: text}) }
-	for name, line := range malformedLines {
-		add(name, successLine+commonFields+line+"\r\n"+sizedBody)
-		add(name+", first field", successLine+line+"\r\n"+commonFields+sizedBody)
-		add(name+", last field", successLine+commonFields+"Content-Length: 5\r\n"+line+"\r\n\r\nwhole")
-		add(name+", bare line feeds", strings.ReplaceAll(successLine+commonFields+line+"\r\n"+sizedBody, "\r\n", "\n"))
-		add(name+", no length", successLine+commonFields+line+"\r\n\r\nwhole")
-		add(name+", failure", "HTTP/1.1 500 Trouble\r\n"+commonFields+line+"\r\n"+sizedBody)
-		add(name+", refusal", "HTTP/1.1 503 Trouble\r\nX-Not-Executed: 1\r\nBergamotroad-Shed: 1\r\n"+commonFields+line+"\r\n"+sizedBody)
-		add(name+", after an interim response", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"+successLine+commonFields+line+"\r\n"+sizedBody)
-		add(name+", in an interim response", "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\n"+successLine+commonFields+sizedBody)
+	common := idField + fields
+	lines := maps.Clone(malformedLines)
+	lines["blank before the colon of a refusal"] = strings.Replace(refusal, ":", " :", 1)
+	lines["blank before a refusal"] = " " + refusal
+	refused := refusal + "\r\n" + common
+	for name, line := range lines {
+		add(name, successLine+common+line+"\r\n"+sizedBody)
+		add(name+", first field", successLine+line+"\r\n"+common+sizedBody)
+		add(name+", last field", successLine+common+"Content-Length: 5\r\n"+line+"\r\n\r\nwhole")
+		add(name+", bare line feeds", strings.ReplaceAll(successLine+common+line+"\r\n"+sizedBody, "\r\n", "\n"))
+		add(name+", no length", successLine+common+line+"\r\n\r\nwhole")
+		add(name+", failure", "HTTP/1.1 500 Trouble\r\n"+common+line+"\r\n"+sizedBody)
+		add(name+", refusal", "HTTP/1.1 503 Trouble\r\n"+refused+line+"\r\n"+sizedBody)
+		add(name+", after an interim response", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"+successLine+common+line+"\r\n"+sizedBody)
+		add(name+", in an interim response", "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\n"+successLine+common+sizedBody)
 	}
 	for name, line := range malformedStarts {
-		add(name, line+"\r\n"+commonFields+sizedBody)
-		add(name+", no length", line+"\r\n"+commonFields+"\r\nwhole")
-		add(name+", refusal", line+"\r\nX-Not-Executed: 1\r\nBergamotroad-Shed: 1\r\n"+commonFields+sizedBody)
+		add(name, line+"\r\n"+common+sizedBody)
+		add(name+", no length", line+"\r\n"+common+"\r\nwhole")
+		add(name+", refusal", line+"\r\n"+refused+sizedBody)
 	}
 	for _, blank := range []string{" ", "\t"} {
 		kind := fmt.Sprintf("%q", blank)
-		add("length with "+kind+" before the colon", successLine+commonFields+"Content-Length"+blank+": 5\r\n\r\nwhole, and more")
-		add("length with "+kind+" before its name", successLine+commonFields+blank+"Content-Length: 5\r\n\r\nwhole, and more")
-		add("chunks with "+kind+" before the colon", successLine+commonFields+"Transfer-Encoding"+blank+": chunked\r\n"+chunkedBody)
-		add("chunks with "+kind+" before the name", successLine+commonFields+blank+"Transfer-Encoding: chunked\r\n"+chunkedBody)
+		add("length with "+kind+" before the colon", successLine+common+"Content-Length"+blank+": 5\r\n\r\nwhole, and more")
+		add("length with "+kind+" before its name", successLine+common+blank+"Content-Length: 5\r\n\r\nwhole, and more")
+		add("chunks with "+kind+" before the colon", successLine+common+"Transfer-Encoding"+blank+": chunked\r\n"+chunkedBody)
+		add("chunks with "+kind+" before the name", successLine+common+blank+"Transfer-Encoding: chunked\r\n"+chunkedBody)
 	}
-	add("chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\n"+commonFields+"Transfer-Encoding: chunked\r\n"+chunkedBody)
-	add("two lengths", successLine+commonFields+"Content-Length: 4\r\n"+sizedBody)
-	add("length with a sign", successLine+commonFields+"Content-Length: +5\r\n\r\nwhole")
-	add("unknown transfer coding", successLine+commonFields+"Transfer-Encoding: trouble\r\n"+chunkedBody)
+	add("chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\n"+common+"Transfer-Encoding: chunked\r\n"+chunkedBody)
+	add("two lengths", successLine+common+"Content-Length: 4\r\n"+sizedBody)
+	add("length with a sign", successLine+common+"Content-Length: +5\r\n\r\nwhole")
+	add("unknown transfer coding", successLine+common+"Transfer-Encoding: trouble\r\n"+chunkedBody)
+	slices.SortFunc(all, func(a, b MalformedResponse) int { return cmp.Compare(a.name, b.name) })
 	return all
 }
--- a/tests/broken_response_test.go
+++ b/tests/broken_response_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"bergamotroad.example/bergamotroad/internal/peer/brbackend"
 	"bergamotroad.example/bergamotroad/internal/standin/brrawserver"
 )
 
@@ -46,7 +47,7 @@
 		return response.StatusCode, string(body)
 	}
 	sent, reached := 0, 0
-	for _, malformed := range brrawserver.MalformedResponses() {
+	for _, malformed := range brrawserver.MalformedResponses("", brbackend.FieldShed+": 1") {
 		if _, variant, ok := strings.Cut(malformed.Name(), ", "); ok && variant != "refusal" {
 			continue // brbackend reads them all
 		}
