Let the soak's servers send malformed heads and reset responses

Servers of the soak answer with any of the malformed responses, and without a length with a reset within the body, also to uploads that are still being sent. Both are drawn beside the other faults, so that the faults of older seeds stay the same.

--- a/tests/soak/fault_test.go
+++ b/tests/soak/fault_test.go
@@ -127,6 +127,13 @@
 	{name: "server resets idle connections", begin: serverFault(brstandin.FaultIdleReset)},
 }
 
+// brokenFaults are further faults of servers that break the protocol, drawn beside the others
+// for the same reason.
+var brokenFaults = []fault{
+	{name: "server answers with malformed heads", begin: serverFault(brstandin.FaultMalformedHead)},
+	{name: "server resets connections within responses", begin: serverFault(brstandin.FaultReset)},
+}
+
 // rawFaultsPerRun is the number of kinds of rawFaults in a run.
 const rawFaultsPerRun = 3
 
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -45,8 +45,9 @@
 	// failOnKnown makes known failures listed in KNOWN-RED.txt fail the test too.
 	failOnKnown = flag.Bool("soak.knownred", false, "fail on the known failures listed in KNOWN-RED.txt too")
 	faultRate   = flag.Float64("soak.faults", 3, "faults per second")
-	// rawFaultRate is added to faultRate.
-	rawFaultRate = flag.Float64("soak.rawfaults", 1, "faults per second of servers that break the protocol")
+	// rawFaultRate and brokenFaultRate are added to faultRate.
+	rawFaultRate    = flag.Float64("soak.rawfaults", 1, "faults per second of servers that break the protocol")
+	brokenFaultRate = flag.Float64("soak.brokenfaults", 0.5, "faults per second of servers with malformed heads and resets within responses")
 )
 
 // faultKindsStream is the PCG stream from which the kinds of faults of a seed are drawn.
@@ -55,6 +56,9 @@
 // rawFaultsStream is the PCG stream from which the rawFaults of a seed are drawn.
 const rawFaultsStream = 1 << 41
 
+// brokenFaultsStream is the PCG stream from which the brokenFaults of a seed are drawn.
+const brokenFaultsStream = 1 << 43
+
 // program is the path of the bergamotroad binary under test.
 var program string
 
@@ -133,6 +137,8 @@
 	rawRandom := rand.New(rand.NewPCG(seed, rawFaultsStream))
 	rawKinds := drawKinds(rawRandom, rawFaults, rawFaultsPerRun, true)
 	steps = append(steps, drawSteps(rawRandom, rawKinds, *faultDuration, int(faultDuration.Seconds()**rawFaultRate))...)
+	brokenRandom := rand.New(rand.NewPCG(seed, brokenFaultsStream))
+	steps = append(steps, drawSteps(brokenRandom, brokenFaults, *faultDuration, int(faultDuration.Seconds()**brokenFaultRate))...)
 	d.runSteps(steps)
 	d.endFaults()
 	d.checkRecovery(t, callers)
