--- a/internal/peer/brbackend/client.go
+++ b/internal/peer/brbackend/client.go
@@ -13,8 +13,12 @@
 // counts only if it can't be a copy of an earlier one: on a new connection, or with the
 // identifier of a request that had not been sent on the connection before.
 //
+// A response whose head is malformed, with a blank in the name of a field or the status 000,
+// is no response: net/http's parser would take some of them for others than the server meant.
+//
 // A response body whose end is marked only by the close of its connection is
-// always reported as truncated, because a truncated body looks the same.
+// always reported as truncated by Send, because a truncated body looks the same. Exchange
+// leaves it to its caller to use such a body; one that a reset ends fails in either case.
 //
 // # Usage
 //
--- a/internal/peer/brbackend/head.go
+++ b/internal/peer/brbackend/head.go
@@ -55,12 +55,12 @@
 //
 // A part of a head may be passed to the parser before the error is found, but not its end.
 type headChecker struct {
-	part   headPart
-	status [len(statusLineForm)]byte // the start of the status line
-	size   int                       // of the status line so far, up to one byte more
-	name   [len(codingName)]byte     // the start of the current name
-	length int                       // of the current name
-	fields int                       // so far
+	part       headPart
+	status     [len(statusLineForm)]byte // the start of the status line
+	statusSize int                       // of the status line so far, up to one byte more
+	name       [len(codingName)]byte     // the start of the current name
+	nameSize   int
+	fieldCount int
 }
 
 // expectHead makes the next byte the first one of a response.
@@ -103,19 +103,19 @@
 
 func (h *headChecker) continueStatusLine(b byte) error {
 	switch {
-	case h.size < len(statusLineForm):
-		if !isStatusLineByte(h.size, b) {
+	case h.statusSize < len(statusLineForm):
+		if !isStatusLineByte(h.statusSize, b) {
 			return errMalformedHead{what: "in the status line", data: b}
 		}
-		h.status[h.size] = b
-		h.size++
+		h.status[h.statusSize] = b
+		h.statusSize++
 	case b == '\n':
 		h.part = partLineStart
-	case h.size == len(statusLineForm):
+	case h.statusSize == len(statusLineForm):
 		if b != ' ' && b != '\r' {
 			return errMalformedHead{what: "after the status", data: b}
 		}
-		h.size++
+		h.statusSize++
 	}
 	return nil
 }
@@ -137,11 +137,11 @@
 		h.part = partHeadEnd
 	case !isNameByte(b):
 		return errMalformedHead{what: "at the start of a field line", data: b}
-	case h.fields == maxFields:
+	case h.fieldCount == maxFields:
 		return errMalformedHead{what: fmt.Sprintf("after %d fields", maxFields), data: b}
 	default:
-		h.part, h.length = partName, 0
-		h.fields++
+		h.part, h.nameSize = partName, 0
+		h.fieldCount++
 		h.addToName(b)
 	}
 	return nil
@@ -162,15 +162,15 @@
 }
 
 func (h *headChecker) addToName(b byte) {
-	if h.length < len(h.name) {
-		h.name[h.length] = b
+	if h.nameSize < len(h.name) {
+		h.name[h.nameSize] = b
 	}
-	h.length++
+	h.nameSize++
 }
 
 // isCoding reports whether the current name is codingName.
 func (h *headChecker) isCoding() bool {
-	return h.length == len(h.name) && strings.EqualFold(string(h.name[:]), codingName)
+	return h.nameSize == len(h.name) && strings.EqualFold(string(h.name[:]), codingName)
 }
 
 // endHead ends a head. Another one follows an interim response.
