Let the soak's proxies pass on resets during uploads

Its write of the upload got the server's reset, its read of the response then a regular end, and it passed that on, so that the VM saw a server that ended its response regularly.

No check of the soak is changed.

--- a/tests/soak/proxy_test.go
+++ b/tests/soak/proxy_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"bergamotroad.example/bergamotroad/internal/peer/brnetwork"
 )
 
 // link is the state of a proxy: which faults it injects into its connections. The
@@ -111,9 +113,10 @@
 	p.mutex.Lock()
 	p.conns[downstream], p.conns[upstream] = true, true
 	p.mutex.Unlock()
+	caller, server := newProxyEnd(downstream), newProxyEnd(upstream)
 	wait := sync.WaitGroup{}
-	wait.Go(func() { p.copyOneWay(upstream, downstream, func(l link) bool { return l.stallForward }) })
-	wait.Go(func() { p.copyOneWay(downstream, upstream, func(l link) bool { return l.stallBackward }) })
+	wait.Go(func() { p.copyOneWay(server, caller, func(l link) bool { return l.stallForward }) })
+	wait.Go(func() { p.copyOneWay(caller, server, func(l link) bool { return l.stallBackward }) })
 	wait.Wait()
 	_ = downstream.Close()
 	_ = upstream.Close()
@@ -123,29 +126,39 @@
 	p.mutex.Unlock()
 }
 
+// proxyEnd is one of the two connections of a proxy.
+type proxyEnd struct {
+	conn   net.Conn
+	stream net.Conn // reads and writes; a reset is no regular end of it
+}
+
+func newProxyEnd(conn net.Conn) proxyEnd {
+	return proxyEnd{conn: conn, stream: brnetwork.WithResetDetection(conn)}
+}
+
 // copyOneWay copies data in one direction as the link allows. It passes on the end of the
 // stream as a half-close and an error as a reset.
-func (p *proxy) copyOneWay(to, from net.Conn, stalled func(link) bool) {
+func (p *proxy) copyOneWay(to, from proxyEnd, stalled func(link) bool) {
 	buffer := make([]byte, 16<<10)
 	for {
-		n, err := from.Read(buffer)
+		n, err := from.stream.Read(buffer)
 		if !p.waitUntilOpen(stalled) {
 			return
 		}
 		if n > 0 {
-			if _, err := to.Write(buffer[:n]); err != nil {
-				abort(from)
+			if _, err := to.stream.Write(buffer[:n]); err != nil {
+				abort(from.conn)
 				return
 			}
 		}
 		if err == io.EOF {
-			if tcp, ok := to.(*net.TCPConn); ok {
+			if tcp, ok := to.conn.(*net.TCPConn); ok {
 				_ = tcp.CloseWrite()
 			}
 			return
 		}
 		if err != nil {
-			abort(to)
+			abort(to.conn)
 			return
 		}
 	}
