--- a/tests/soak/fault_test.go
+++ b/tests/soak/fault_test.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"bergamotroad.example/bergamotroad/internal/standin/brrawserver"
 	"bergamotroad.example/bergamotroad/platform/brstandin"
 )
 
@@ -134,6 +135,15 @@
 	{name: "server resets connections within responses", begin: serverFault(brstandin.FaultReset)},
 }
 
+// malformedResponses returns the responses of servers that answer with malformed heads.
+func malformedResponses() []string {
+	texts := []string{}
+	for _, malformed := range brrawserver.MalformedResponses("X-Server-Stamp: odd\r\n", "X-Not-Executed: 1") {
+		texts = append(texts, malformed.Text("{id}"))
+	}
+	return texts
+}
+
 // rawFaultsPerRun is the number of kinds of rawFaults in a run.
 const rawFaultsPerRun = 3
 
