Count requests without an answer for the version of their server

Cause: an attempt that the route's timeout ended counted for its version only above four times the latency objective, and the timeout came before. Ruled out: lost counts, a wrong age of the rollout, answers counted for the wrong version.

Change: such an attempt counts as overdue once it took longer than the latency objective, in the same way for all versions and whoever ended it, but not at servers that have just started, where a third of the requests of good versions end so. Overdue requests have thresholds of their own. A version succeeds only with 12 good answers in its trial and 12 more at its larger share, at 0.8 of the duration, and never without any answer. Services with few requests send it more, within the allowed number on top of the share; the shares until the decision sum up to what is allowed.

--- a/internal/decide/brplacement/placer.go
+++ b/internal/decide/brplacement/placer.go
@@ -325,7 +325,7 @@
 		rate := p.view.Policy().Service(srv.registration.Service()).ColdRate()
 		srv.pacer.take(now, max(rate, 1)*coldShare/vmsPerColdServer)
 	}
-	choice.server, choice.load = srv.registration, srv.load(now)
+	choice.server, choice.load, choice.cold = srv.registration, srv.load(now), srv.cold(now)
 	srv.running++
 	p.service(srv.registration.Service()).load++
 	return choice
@@ -371,6 +371,7 @@
 	candidates  int
 	load        float64
 	utilisation float64
+	cold        bool
 }
 
 // Server returns the picked server.
@@ -388,3 +389,6 @@
 
 // Utilisation returns the estimated load of the service, as a fraction of its slots.
 func (c Choice) Utilisation() float64 { return c.utilisation }
+
+// IsCold reports whether the server had just started, so that its responses take longer.
+func (c Choice) IsCold() bool { return c.cold }
--- a/internal/decide/brrollout/evaluator.go
+++ b/internal/decide/brrollout/evaluator.go
@@ -3,40 +3,44 @@
 //
 // The new version gets a small share until late in the rollout, since some
 // versions fail only after some time, under load or on one route. It is rolled
-// back as soon as its share of bad answers is clearly above that of the other
-// versions.
+// back as soon as its share of bad answers, or of requests without an answer, is
+// clearly above that of the other versions. It succeeds only if it has answered
+// enough requests about as well as the others.
 //
 // # Usage
 //
 //	evaluator := brrollout.NewEvaluator()
-//	decision := evaluator.Evaluate(now, rollout, status.Tally(rollout.Revision()), allowed)
+//	decision := evaluator.Evaluate(now, rollout, status.Tally(rollout.Revision()), brrollout.NewLimits(0.1, 50))
 package brrollout
 
 import (
+	"math"
 	"time"
 
+	"bergamotroad.example/bergamotroad/internal/core/broption"
 	"bergamotroad.example/bergamotroad/internal/model/brfleet"
 	"bergamotroad.example/bergamotroad/internal/model/brstatus"
 )
 
 const (
-	// trialShare is the share of requests for a version on trial, as a fraction of
-	// the allowed share.
-	trialShare = 0.75
-	// warmupShare is the share of requests for a version that has passed its
-	// trial, while its servers fill their caches.
-	warmupShare = 0.3
+	// trialFactor is the share of requests for a version on trial, as a multiple of the
+	// allowed share. warmupFactor is that for a version that has passed its trial, while its
+	// servers fill their caches and get more load. Until the decision at deadlineAt a version
+	// gets at most the allowed share of the requests of the whole duration.
+	trialFactor  = 0.6
+	warmupFactor = 2
 	// trialEnd and successAt are fractions of the rollout's duration, after which
 	// the trial may end and the rollout may succeed.
 	trialEnd  = 0.5
-	successAt = 0.66
+	successAt = 0.8
 	// assumedProgress is the fraction of a rollout's duration that is assumed to
 	// have passed when a VM first sees the rollout already running and no VM has
 	// reported its age.
 	assumedProgress = 0.4
 	// minGoodAnswers is the number of good answers that a version needs to pass its
-	// trial. deadlineAt is the fraction of the duration after which any number
-	// suffices, and a version that is not good is rolled back.
+	// trial, and as many again after it to succeed. deadlineAt is the fraction of the
+	// duration after which any number suffices, and a version that is not good is rolled
+	// back.
 	minGoodAnswers = 12
 	deadlineAt     = 0.85
 	// A version is bad if it gave at least minBadAnswers bad answers, and their share
@@ -49,9 +53,26 @@
 	// versions.
 	goodOffset = 0.03
 	goodFactor = 1.5
+	// Requests without an answer are compared together with bad answers. The offsets are
+	// larger, since servers of a new version don't know the objects of their requests yet,
+	// and take longer.
+	minLate    = 6
+	lateOffset = 0.25
+	// A version is good if fewer than half of minLate requests were bad or unanswered, or
+	// their share is at most goodLateOffset plus goodFactor times that of the other versions.
+	goodLateOffset = 0.15
 	// recentWindow is the length of the window of answers that is also evaluated by
 	// itself, since some versions become bad late.
 	recentWindow = 4 * time.Second
+	// wantedRequests is the number of requests that a version should get in its trial, and
+	// again after it. Services with few requests send it a larger share for that, up to
+	// maxShare, but not more than slackPart of the allowed slack each time.
+	wantedRequests = 20
+	maxShare       = 0.5
+	slackPart      = 0.4
+	// shareStep is the step to which larger shares are rounded up, so that they change
+	// rarely.
+	shareStep = 0.05
 )
 
 // Evaluator holds the history of each rollout. It is not safe for concurrent use.
@@ -64,6 +85,7 @@
 	startedAt time.Time
 	estimated bool // startedAt is an estimate
 	history   []snapshot
+	warmup    broption.Option[snapshot] // when the trial ended
 }
 
 // snapshot is a tally with its time.
@@ -100,32 +122,81 @@
 // Bad reports whether the new version must get no more requests.
 func (d Decision) Bad() bool { return d.bad }
 
-// Evaluate decides on a rollout from the tally of answers of all VMs. While the new
-// version is on trial, it gets at most the allowed share of the requests.
-func (e *Evaluator) Evaluate(now time.Time, rollout brfleet.Rollout, tally brstatus.Tally, allowed float64) Decision {
+// Limits bound the requests that a version may get before its rollout has succeeded: a share
+// of the service's requests during the rollout, and a number on top. They are immutable.
+type Limits struct {
+	share float64
+	slack float64
+}
+
+// NewLimits returns the limits with a share of the requests and a number on top.
+func NewLimits(share, slack float64) Limits { return Limits{share: share, slack: slack} }
+
+// wanted returns the number of requests that a version should get in each part of its rollout.
+func (l Limits) wanted() float64 { return min(wantedRequests, slackPart*l.slack) }
+
+// Evaluate decides on a rollout from the tally of answers of all VMs. The new version gets
+// requests within the limits until it has succeeded.
+func (e *Evaluator) Evaluate(now time.Time, rollout brfleet.Rollout, tally brstatus.Tally, limits Limits) Decision {
 	if rollout.State().Ended() {
 		return Decision{state: rollout.State()}
 	}
 	t := e.trial(now, rollout, tally)
 	recent := t.recent(now, tally)
-	if bad(tally) || bad(recent) {
+	if fails(tally) || fails(recent) || isLate(tally) {
 		return Decision{state: brfleet.RolloutRolledBack, bad: true}
 	}
 	if rollout.State() == brfleet.RolloutOrdered {
 		return Decision{state: brfleet.RolloutRunning}
 	}
-	elapsed := float64(now.Sub(t.startedAt)) / float64(max(rollout.Duration(), time.Millisecond))
+	progress := newProgress(now.Sub(t.startedAt), rollout.Duration())
 	isGood := good(tally) && good(recent)
 	switch {
-	case elapsed >= deadlineAt && !isGood:
+	case progress.reached(deadlineAt) && !isGood:
 		return Decision{state: brfleet.RolloutRolledBack, bad: true}
-	case isGood && elapsed >= successAt && (tally.TargetGood() >= minGoodAnswers || elapsed >= deadlineAt):
-		return Decision{state: brfleet.RolloutSucceeded, share: warmupShare}
-	case isGood && elapsed >= trialEnd && tally.TargetGood() >= minGoodAnswers:
-		return Decision{state: brfleet.RolloutRunning, share: warmupShare}
-	default:
-		return Decision{state: brfleet.RolloutRunning, share: trialShare * allowed}
+	case progress.reached(deadlineAt):
+		return Decision{state: brfleet.RolloutSucceeded, share: warmupFactor * limits.share}
+	case !isGood || !progress.reached(trialEnd) || tally.TargetGood() < minGoodAnswers:
+		missing := limits.wanted() - float64(tally.Target())
+		share := max(trialFactor*limits.share, progress.shareFor(tally, missing, trialEnd))
+		return Decision{state: brfleet.RolloutRunning, share: share}
+	}
+	warmup := t.sinceWarmup(now, tally)
+	if progress.reached(successAt) && warmup.TargetGood() >= minGoodAnswers {
+		return Decision{state: brfleet.RolloutSucceeded, share: warmupFactor * limits.share}
 	}
+	missing := limits.wanted() - float64(warmup.Target())
+	share := max(warmupFactor*limits.share, progress.shareFor(tally, missing, successAt))
+	return Decision{state: brfleet.RolloutRunning, share: share}
+}
+
+// progress is how much of a rollout's duration has passed.
+type progress struct {
+	elapsed  time.Duration
+	duration time.Duration
+}
+
+func newProgress(elapsed, duration time.Duration) progress {
+	return progress{elapsed: elapsed, duration: max(duration, time.Millisecond)}
+}
+
+func (p progress) reached(fraction float64) bool {
+	return p.elapsed >= p.at(fraction)
+}
+
+func (p progress) at(fraction float64) time.Duration {
+	return time.Duration(fraction * float64(p.duration))
+}
+
+// shareFor returns the share of requests by which the target version gets the missing ones
+// until a fraction of the duration, if the service's requests arrive as before.
+func (p progress) shareFor(tally brstatus.Tally, missing, fraction float64) float64 {
+	remaining := p.at(fraction) - p.elapsed
+	arriving := float64(tally.Target()+tally.Old()) * float64(remaining) / float64(max(p.elapsed, time.Millisecond))
+	if missing <= 0 || arriving <= 0 {
+		return 0
+	}
+	return min(math.Ceil(missing/arriving/shareStep)*shareStep, maxShare)
 }
 
 // trial returns the history of a rollout. If the rollout was already running when
@@ -156,19 +227,48 @@
 	return tally.Sub(t.history[0].tally)
 }
 
-// bad reports whether the new version is clearly worse than the others.
-func bad(t brstatus.Tally) bool {
+// sinceWarmup returns the answers since the end of the trial, which is now if it has not
+// ended before.
+func (t *trial) sinceWarmup(now time.Time, tally brstatus.Tally) brstatus.Tally {
+	start, ended := t.warmup.Get()
+	if !ended {
+		start = snapshot{at: now, tally: tally}
+		t.warmup = broption.Some(start)
+	}
+	return tally.Sub(start.tally)
+}
+
+// fails reports whether the new version clearly gives more bad answers than the others.
+func fails(t brstatus.Tally) bool {
 	return t.TargetBad() >= minBadAnswers && targetBadShare(t) > badOffset+badFactor*oldBadShare(t)
 }
 
+// isLate reports whether the new version clearly leaves more requests without a good answer
+// than the others.
+func isLate(t brstatus.Tally) bool {
+	return targetLate(t) >= minLate && targetLateShare(t) > lateOffset+badFactor*oldLateShare(t)
+}
+
 // good reports whether the new version is about as good as the others. A version can
-// be neither good nor bad.
+// be neither good nor bad. One that got requests and answered none is not good.
 func good(t brstatus.Tally) bool {
-	return t.TargetBad() < minBadAnswers/2 || targetBadShare(t) <= goodOffset+goodFactor*oldBadShare(t)
+	if t.Target() > 0 && t.TargetGood() == 0 {
+		return false
+	}
+	fewBad := t.TargetBad() < minBadAnswers/2 || targetBadShare(t) <= goodOffset+goodFactor*oldBadShare(t)
+	fewLate := targetLate(t) < minLate/2 || targetLateShare(t) <= goodLateOffset+goodFactor*oldLateShare(t)
+	return fewBad && fewLate
 }
 
-func targetBadShare(t brstatus.Tally) float64 { return share(t.TargetBad(), t.TargetGood()) }
+// targetLate returns the requests that the new version answered badly or not at all.
+func targetLate(t brstatus.Tally) uint64 { return t.TargetBad() + t.TargetOverdue() }
+
+func targetBadShare(t brstatus.Tally) float64 { return share(t.TargetBad(), t.Target()) }
+
+func oldBadShare(t brstatus.Tally) float64 { return share(t.OldBad(), t.Old()) }
+
+func targetLateShare(t brstatus.Tally) float64 { return share(targetLate(t), t.Target()) }
 
-func oldBadShare(t brstatus.Tally) float64 { return share(t.OldBad(), t.OldGood()) }
+func oldLateShare(t brstatus.Tally) float64 { return share(t.OldBad()+t.OldOverdue(), t.Old()) }
 
-func share(bad, good uint64) float64 { return float64(bad) / float64(max(bad+good, 1)) }
+func share(count, total uint64) float64 { return float64(count) / float64(max(total, 1)) }
--- a/internal/duty/brassignment/assigner.go
+++ b/internal/duty/brassignment/assigner.go
@@ -123,20 +123,6 @@
 // Waiting returns the number of requests in the queue.
 func (a Assignment) Waiting() int { return a.waiting }
 
-// VersionResult is how a response counts for the version of its server in a rollout. It is
-// immutable.
-type VersionResult struct {
-	service string
-	version string
-	bad     bool
-	counted bool
-}
-
-// NewVersionResult returns the result of a response from a version of a service.
-func NewVersionResult(service, version string, bad bool) VersionResult {
-	return VersionResult{service: service, version: version, bad: bad, counted: true}
-}
-
 // Assigner is the duty and its client methods, which may be called concurrently.
 type Assigner struct {
 	duty       *brduty.Duty[message, *brfleet.View]
--- a/internal/duty/brassignment/handler.go
+++ b/internal/duty/brassignment/handler.go
@@ -29,11 +29,13 @@
 	aggregator  *braggregator.Aggregator
 	detector    PoisonDetector
 	view        *brfleet.View
-	tallies     map[uint64]brstatus.Tally
-	journal     Journal
-	moves       *moveReporter
-	metrics     metrics
-	open        atomic.Int64 // see maxOpen
+	tallies     map[uint64]brstatus.Tally // by revision of the rollout
+	// talliesChanged means that the tallies differ from those published last.
+	talliesChanged bool
+	journal        Journal
+	moves          *moveReporter
+	metrics        metrics
+	open           atomic.Int64 // see maxOpen
 	// nextExchange is when the loads of servers are exchanged with other VMs again.
 	nextExchange time.Time
 	fleetAsOf    time.Time // of the fleet's loads in use
@@ -88,6 +90,7 @@
 func (h *handler) Tick(_ context.Context, now time.Time) {
 	h.moves.report(now, h.placer.TakeMoves())
 	h.exchangeLoads(now)
+	h.publishTallies()
 	h.serve(now)
 	h.metrics.publishRunning(now, h.placer.Running)
 	for _, reply := range h.queue.Expire(now) {
@@ -255,28 +258,27 @@
 	}
 }
 
-// tally counts a response towards the rollout of its service, if one is in progress.
+// tally counts a request towards the rollout of its service, if one is in progress. Counts
+// of the target version are published at once, others with the next tick.
 func (h *handler) tally(v VersionResult) {
-	if !v.counted {
-		return
-	}
 	rollout, found := h.view.Rollout(v.service)
-	if !found || rollout.State().Ended() {
+	if v.verdict == VersionUnjudged || !found || rollout.State().Ended() {
 		return
 	}
-	increment := brstatus.NewTally(0, 0, 1, 0)
-	switch target := v.version == rollout.Target(); {
-	case target && v.bad:
-		increment = brstatus.NewTally(0, 1, 0, 0)
-	case target:
-		increment = brstatus.NewTally(1, 0, 0, 0)
-	case v.bad:
-		increment = brstatus.NewTally(0, 0, 0, 1)
-	}
-	h.tallies[rollout.Revision()] = h.tallies[rollout.Revision()].Add(increment)
+	h.tallies[rollout.Revision()] = h.tallies[rollout.Revision()].Add(v.tally(rollout.Target()))
+	h.talliesChanged = true
 	if v.version == rollout.Target() {
-		h.aggregator.SetTallies(maps.Clone(h.tallies))
+		h.publishTallies()
+	}
+}
+
+// publishTallies passes the tallies on if they have changed since the last call.
+func (h *handler) publishTallies() {
+	if !h.talliesChanged {
+		return
 	}
+	h.talliesChanged = false
+	h.aggregator.SetTallies(maps.Clone(h.tallies))
 }
 
 // dropTallies removes the tallies of rollouts that are no longer in the view.
--- a/internal/duty/brcanary/duty.go
+++ b/internal/duty/brcanary/duty.go
@@ -98,7 +98,8 @@
 	changed := false
 	for service, rollout := range rollouts {
 		tally := summary.Fleet().Tally(rollout.Revision())
-		decision := h.evaluator.Evaluate(now, rollout, tally, h.bounds().ExposureShare())
+		limits := brrollout.NewLimits(h.bounds().ExposureShare(), h.bounds().ExposureSlack())
+		decision := h.evaluator.Evaluate(now, rollout, tally, limits)
 		if previous, ok := h.logged[rollout.Revision()]; ok && previous.Bad() {
 			decision = previous
 		}
@@ -109,7 +110,8 @@
 			h.logged[rollout.Revision()] = decision
 			h.journal.StateChange("rollout ruled", "service", service, "target", rollout.Target(), "revision", rollout.Revision(),
 				"share", decision.Share(), "state", string(decision.State()), "target_good", tally.TargetGood(), "target_bad", tally.TargetBad(),
-				"old_good", tally.OldGood(), "old_bad", tally.OldBad(), "age_ms", now.Sub(summary.AsOf()).Milliseconds())
+				"target_overdue", tally.TargetOverdue(),
+				"old_good", tally.OldGood(), "old_bad", tally.OldBad(), "old_overdue", tally.OldOverdue(), "age_ms", now.Sub(summary.AsOf()).Milliseconds())
 		}
 		h.record(now, state, summary, rollout.WithState(decision.State()), rollout.State())
 	}
--- a/internal/peer/brentry/sync.go
+++ b/internal/peer/brentry/sync.go
@@ -152,6 +152,8 @@
 			OldGood:    t.OldGood(),
 			OldBad:     t.OldBad(),
 
+			TargetOverdue:   t.TargetOverdue(),
+			OldOverdue:      t.OldOverdue(),
 			AgeMilliseconds: uint32(max(t.Age().Milliseconds(), 0)),
 		}
 	}
@@ -175,6 +177,7 @@
 	tallies := make(map[uint64]brstatus.Tally, len(message.GetTallies()))
 	for revision, t := range message.GetTallies() {
 		tallies[revision] = brstatus.NewTally(t.GetTargetGood(), t.GetTargetBad(), t.GetOldGood(), t.GetOldBad()).
+			WithOverdue(t.GetTargetOverdue(), t.GetOldOverdue()).
 			WithAge(time.Duration(t.GetAgeMilliseconds()) * time.Millisecond)
 	}
 	notices := []brrequest.PoisonNotice{}
--- a/internal/service/brproxy/attempt.go
+++ b/internal/service/brproxy/attempt.go
@@ -173,6 +173,7 @@
 	count := p.startCount(j, sent)
 	response, report, err := p.upstream.Send(ctx, server, j.request, j.organisation.Name(), j.deadline.Sub(sent), j.newCall())
 	count(err)
+	headTime := p.clock.Now().Sub(sent)
 	attempt, kind := readOutcome(ctx, j, response, err)
 	duration := p.clock.Now().Sub(sent)
 	if attempt.result.fate != brrequest.FateNotRun {
@@ -183,7 +184,12 @@
 	if kind == brrequest.OutcomeAnswered || kind == brrequest.OutcomeFault {
 		p.poison.ReportCompletion(j.fingerprint)
 	}
-	return attempt, outcome, versionResult(j, server, kind, duration)
+	latency := duration
+	if attempt.result.started {
+		latency = headTime // the rest takes as long as the caller needs to read it
+	}
+	verdict := versionVerdict(j, attempt.result, kind, latency)
+	return attempt, outcome, brassignment.NewVersionResult(j.service, server.Version(), verdict)
 }
 
 // outcome returns how an attempt ended at its server.
@@ -199,16 +205,28 @@
 		WithServerDown(kind == brrequest.OutcomeBroken && p.isDead(ctx, server))
 }
 
-// versionResult returns how an attempt counts for the version of its server.
-func versionResult(j *job, server brfleet.Server, kind brrequest.OutcomeKind, duration time.Duration) brassignment.VersionResult {
-	slow := j.route.TargetLatency() > 0 && duration > slowFactor*j.route.TargetLatency()
+// versionVerdict judges an attempt in the same way for all versions, whether the route's
+// timeout, the caller's deadline or the caller ended it. A server that has just started may
+// take longer than a response should. The latency is the time to the whole response, or to
+// its head if it was passed on while it arrived.
+func versionVerdict(j *job, result Result, kind brrequest.OutcomeKind, latency time.Duration) brassignment.VersionVerdict {
+	objective := j.route.TargetLatency()
+	slow := objective > 0 && latency > slowFactor*objective
 	switch {
+	case kind == brrequest.OutcomeFault, kind == brrequest.OutcomeBroken:
+		return brassignment.VersionBad
+	case kind == brrequest.OutcomeAnswered && slow:
+		return brassignment.VersionBad
 	case kind == brrequest.OutcomeAnswered:
-		return brassignment.NewVersionResult(j.service, server.Version(), slow)
-	case kind == brrequest.OutcomeFault, kind == brrequest.OutcomeBroken, kind == brrequest.OutcomeCancelled && slow:
-		return brassignment.NewVersionResult(j.service, server.Version(), true)
+		return brassignment.VersionGood
+	case kind != brrequest.OutcomeCancelled || result.started || result.fate == brrequest.FateNotRun:
+		return brassignment.VersionUnjudged
+	case slow:
+		return brassignment.VersionBad
+	case latency > j.overdueAfter() && !j.choice.IsCold():
+		return brassignment.VersionOverdue
 	default:
-		return brassignment.VersionResult{}
+		return brassignment.VersionUnjudged
 	}
 }
 
--- a/internal/service/brproxy/job.go
+++ b/internal/service/brproxy/job.go
@@ -19,6 +19,9 @@
 	priorityLevels = 1000
 	// defaultTimeout is the timeout of routes that set none.
 	defaultTimeout = 30 * time.Second
+	// overdueDivisor divides the timeout of a route without a latency objective to get the
+	// time within which servers should respond.
+	overdueDivisor = 2
 )
 
 // job is the state of one request while it is forwarded.
@@ -57,11 +60,7 @@
 func (j *job) setRoute(route brfleet.Route) {
 	j.route = route
 	j.service = chooseService(route, j.request.ID())
-	timeout := route.Timeout()
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	j.deadline = j.arrived.Add(timeout)
+	j.deadline = j.arrived.Add(j.timeout())
 	if deadline := j.request.Deadline(); !deadline.IsZero() && deadline.Before(j.deadline) {
 		j.deadline = deadline
 	}
@@ -74,6 +73,22 @@
 	}
 }
 
+// timeout returns the route's timeout.
+func (j *job) timeout() time.Duration {
+	if timeout := j.route.Timeout(); timeout > 0 {
+		return timeout
+	}
+	return defaultTimeout
+}
+
+// overdueAfter returns the time within which a server should respond.
+func (j *job) overdueAfter() time.Duration {
+	if objective := j.route.TargetLatency(); objective > 0 {
+		return objective
+	}
+	return j.timeout() / overdueDivisor
+}
+
 // chooseService chooses one of the route's services by their weights. The same request ID
 // always gets the same service.
 func chooseService(route brfleet.Route, id string) string {
