Keep the counts of rollouts by VM, so that restarts lose none

Cause: the fleet's tally was the sum over the VMs that report now, so each restart took answers away. A VM that starts also took a running rollout for a new one, since it sees the order before the result.

Change: each VM keeps the counts of all VMs, by run of their processes, as counters that only grow and are merged by the higher value. A version succeeds only where half of the registered VMs report. Rollouts are evaluated once the results are known, and the longest known age counts. The larger share for services with few requests waits until the rate is known. Ruled out, since it is lost with a kill: a handover at the stop. Ruled out for its calls, and as it may be away: the store.

A version whose true rate of errors equals that of the others is still rolled back now and then: TestGoodVersionSucceedsInTime holds with its fixed checks, but not with -rapid.checks=1000, on the code before as on this one.

--- a/internal/decide/braggregation/aggregator_test.go
+++ b/internal/decide/braggregation/aggregator_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/require"
 
 	"bergamotroad.example/bergamotroad/internal/decide/braggregation"
@@ -13,8 +14,9 @@
 var start = time.Unix(1000, 0)
 
 func newStatus(vm string, demand float64) brstatus.Status {
-	tallies := map[uint64]brstatus.Tally{7: brstatus.NewTally(1, 2, 3, 4)}
-	return brstatus.New([]string{vm}, map[string]float64{"o": demand}, tallies)
+	reporter := brstatus.Reporter(xxhash.Sum64String(vm))
+	ledger := brstatus.Ledger{7: {reporter: brstatus.NewTally(1, 2, 3, 4)}}
+	return brstatus.New([]string{vm}, map[string]float64{"o": demand}, ledger)
 }
 
 func TestRegionAndFleetAreAggregated(t *testing.T) {
--- a/internal/decide/brrollout/evaluator.go
+++ b/internal/decide/brrollout/evaluator.go
@@ -10,7 +10,8 @@
 // # Usage
 //
 //	evaluator := brrollout.NewEvaluator()
-//	decision := evaluator.Evaluate(now, rollout, status.Tally(rollout.Revision()), brrollout.NewLimits(0.1, 50))
+//	evidence := brrollout.NewEvidence(status.Tally(rollout.Revision()), true)
+//	decision := evaluator.Evaluate(now, rollout, evidence, brrollout.NewLimits(0.1, 50))
 package brrollout
 
 import (
@@ -64,6 +65,9 @@
 	// recentWindow is the length of the window of answers that is also evaluated by
 	// itself, since some versions become bad late.
 	recentWindow = 4 * time.Second
+	// minRateWindow is the time for which answers are counted before the rate of the
+	// service's requests is known.
+	minRateWindow = 2500 * time.Millisecond
 	// wantedRequests is the number of requests that a version should get in its trial, and
 	// again after it. Services with few requests send it a larger share for that, up to
 	// maxShare, but not more than slackPart of the allowed slack each time.
@@ -135,9 +139,30 @@
 // wanted returns the number of requests that a version should get in each part of its rollout.
 func (l Limits) wanted() float64 { return min(wantedRequests, slackPart*l.slack) }
 
-// Evaluate decides on a rollout from the tally of answers of all VMs. The new version gets
-// requests within the limits until it has succeeded.
-func (e *Evaluator) Evaluate(now time.Time, rollout brfleet.Rollout, tally brstatus.Tally, limits Limits) Decision {
+// Evidence is what is known of the answers of the versions. It is immutable.
+type Evidence struct {
+	tally      brstatus.Tally
+	isMajority bool
+}
+
+// NewEvidence returns the evidence of a tally; isMajority means that at least half of the
+// VMs contribute to it now.
+func NewEvidence(tally brstatus.Tally, isMajority bool) Evidence {
+	return Evidence{tally: tally, isMajority: isMajority}
+}
+
+// Evaluate decides on a rollout. The new version gets requests within the limits until it
+// has succeeded. Without a majority of the VMs it does not succeed: the others may know of
+// bad answers.
+func (e *Evaluator) Evaluate(now time.Time, rollout brfleet.Rollout, evidence Evidence, limits Limits) Decision {
+	decision := e.evaluate(now, rollout, evidence.tally, limits)
+	if decision.state == brfleet.RolloutSucceeded && !rollout.State().Ended() && !evidence.isMajority {
+		return Decision{state: brfleet.RolloutRunning, share: trialFactor * limits.share}
+	}
+	return decision
+}
+
+func (e *Evaluator) evaluate(now time.Time, rollout brfleet.Rollout, tally brstatus.Tally, limits Limits) Decision {
 	if rollout.State().Ended() {
 		return Decision{state: rollout.State()}
 	}
@@ -158,7 +183,7 @@
 		return Decision{state: brfleet.RolloutSucceeded, share: warmupFactor * limits.share}
 	case !isGood || !progress.reached(trialEnd) || tally.TargetGood() < minGoodAnswers:
 		missing := limits.wanted() - float64(tally.Target())
-		share := max(trialFactor*limits.share, progress.shareFor(tally, missing, trialEnd))
+		share := max(trialFactor*limits.share, progress.shareFor(t.rate(now, recent), missing, trialEnd))
 		return Decision{state: brfleet.RolloutRunning, share: share}
 	}
 	warmup := t.sinceWarmup(now, tally)
@@ -166,7 +191,7 @@
 		return Decision{state: brfleet.RolloutSucceeded, share: warmupFactor * limits.share}
 	}
 	missing := limits.wanted() - float64(warmup.Target())
-	share := max(warmupFactor*limits.share, progress.shareFor(tally, missing, successAt))
+	share := max(warmupFactor*limits.share, progress.shareFor(t.rate(now, recent), missing, successAt))
 	return Decision{state: brfleet.RolloutRunning, share: share}
 }
 
@@ -189,10 +214,9 @@
 }
 
 // shareFor returns the share of requests by which the target version gets the missing ones
-// until a fraction of the duration, if the service's requests arrive as before.
-func (p progress) shareFor(tally brstatus.Tally, missing, fraction float64) float64 {
-	remaining := p.at(fraction) - p.elapsed
-	arriving := float64(tally.Target()+tally.Old()) * float64(remaining) / float64(max(p.elapsed, time.Millisecond))
+// until a fraction of the duration, if the service gets requests at the given rate per second.
+func (p progress) shareFor(rate, missing, fraction float64) float64 {
+	arriving := rate * (p.at(fraction) - p.elapsed).Seconds()
 	if missing <= 0 || arriving <= 0 {
 		return 0
 	}
@@ -200,7 +224,8 @@
 }
 
 // trial returns the history of a rollout. If the rollout was already running when
-// this VM first saw it, its start is estimated until another VM reports its age.
+// this VM first saw it, its start is estimated until another VM reports its age. The VM that
+// has known the rollout for longest is right about its age.
 func (e *Evaluator) trial(now time.Time, rollout brfleet.Rollout, tally brstatus.Tally) *trial {
 	t, ok := e.trials[rollout.Revision()]
 	if !ok {
@@ -211,7 +236,7 @@
 		}
 		e.trials[rollout.Revision()] = t
 	}
-	if t.estimated && tally.Age() > 0 {
+	if tally.Age() > 0 && (t.estimated || tally.Age() > now.Sub(t.startedAt)) {
 		t.startedAt = now.Add(-tally.Age())
 		t.estimated = false
 	}
@@ -238,6 +263,16 @@
 	return tally.Sub(start.tally)
 }
 
+// rate returns the requests of the service per second in the recent window, or 0 while that is
+// too short: answers take a time to be counted, so that the rate would seem too low.
+func (t *trial) rate(now time.Time, recent brstatus.Tally) float64 {
+	span := now.Sub(t.history[0].at)
+	if span < minRateWindow {
+		return 0
+	}
+	return float64(recent.Target()+recent.Old()) / span.Seconds()
+}
+
 // fails reports whether the new version clearly gives more bad answers than the others.
 func fails(t brstatus.Tally) bool {
 	return t.TargetBad() >= minBadAnswers && targetBadShare(t) > badOffset+badFactor*oldBadShare(t)
--- a/internal/decide/brrollout/evaluator_test.go
+++ b/internal/decide/brrollout/evaluator_test.go
@@ -27,6 +27,9 @@
 	limits = brrollout.NewLimits(allowed, slack)
 )
 
+// majority returns the evidence of a tally of most VMs.
+func majority(tally brstatus.Tally) brrollout.Evidence { return brrollout.NewEvidence(tally, true) }
+
 // version says how often a version fails and how often it doesn't answer in time.
 type version struct {
 	badShare     float64
@@ -66,7 +69,7 @@
 	for ; o.endedAfter < duration; o.endedAfter += step {
 		now := int(o.endedAfter / step)
 		tally = tally.Add(late[now])
-		decision := evaluator.Evaluate(start.Add(o.endedAfter), rollout, tally, limits)
+		decision := evaluator.Evaluate(start.Add(o.endedAfter), rollout, majority(tally), limits)
 		rollout = rollout.WithState(decision.State())
 		if rollout.State().Ended() {
 			break
@@ -170,9 +173,9 @@
 func TestVersionWithoutAnyAnswerDoesNotSucceed(t *testing.T) {
 	evaluator := brrollout.NewEvaluator()
 	rollout := brfleet.NewRollout("lookup", "v2", 16*time.Second, 3)
-	evaluator.Evaluate(start, rollout, brstatus.Tally{}, limits)
+	evaluator.Evaluate(start, rollout, majority(brstatus.Tally{}), limits)
 	rollout = rollout.WithState(brfleet.RolloutRunning)
-	decision := evaluator.Evaluate(start.Add(14*time.Second), rollout, brstatus.NewTally(0, 0, 20, 0).WithOverdue(2, 0), limits)
+	decision := evaluator.Evaluate(start.Add(14*time.Second), rollout, majority(brstatus.NewTally(0, 0, 20, 0).WithOverdue(2, 0)), limits)
 	require.Equal(t, brfleet.RolloutRolledBack, decision.State())
 }
 
@@ -182,8 +185,8 @@
 	evaluator := brrollout.NewEvaluator()
 	rollout := brfleet.NewRollout("lookup", "v2", 16*time.Second, 3).WithState(brfleet.RolloutRunning)
 	tally := brstatus.NewTally(40, 0, 500, 2)
-	evaluator.Evaluate(start, rollout, tally, limits)
-	decision := evaluator.Evaluate(start.Add(4500*time.Millisecond), rollout, tally.WithAge(5*time.Second), limits)
+	evaluator.Evaluate(start, rollout, majority(tally), limits)
+	decision := evaluator.Evaluate(start.Add(4500*time.Millisecond), rollout, majority(tally.WithAge(5*time.Second)), limits)
 	require.Equal(t, brfleet.RolloutRunning, decision.State())
 	require.Equal(t, 5*time.Second, evaluator.Age(start.Add(4500*time.Millisecond), 3))
 }
@@ -194,11 +197,11 @@
 func TestModeratelyWorseVersionDoesNotSucceed(t *testing.T) {
 	evaluator := brrollout.NewEvaluator()
 	rollout := brfleet.NewRollout("lookup", "v2", 16*time.Second, 3)
-	evaluator.Evaluate(start, rollout, brstatus.Tally{}, limits)
+	evaluator.Evaluate(start, rollout, majority(brstatus.Tally{}), limits)
 	rollout = rollout.WithState(brfleet.RolloutRunning)
 	tally := brstatus.NewTally(104, 15, 1112, 23)
-	require.Equal(t, brfleet.RolloutRunning, evaluator.Evaluate(start.Add(11*time.Second), rollout, tally, limits).State())
-	require.Equal(t, brfleet.RolloutRolledBack, evaluator.Evaluate(start.Add(14*time.Second), rollout, tally, limits).State())
+	require.Equal(t, brfleet.RolloutRunning, evaluator.Evaluate(start.Add(11*time.Second), rollout, majority(tally), limits).State())
+	require.Equal(t, brfleet.RolloutRolledBack, evaluator.Evaluate(start.Add(14*time.Second), rollout, majority(tally), limits).State())
 }
 
 // A version that becomes bad after many good answers is rolled back because of its
@@ -206,13 +209,13 @@
 func TestVersionThatBecomesBadLateIsRolledBack(t *testing.T) {
 	evaluator := brrollout.NewEvaluator()
 	rollout := brfleet.NewRollout("lookup", "v2", time.Minute, 3)
-	evaluator.Evaluate(start, rollout, brstatus.Tally{}, limits)
+	evaluator.Evaluate(start, rollout, majority(brstatus.Tally{}), limits)
 	rollout = rollout.WithState(brfleet.RolloutRunning)
 	for second := range 20 {
 		good := uint64(10 * second)
-		evaluator.Evaluate(start.Add(time.Duration(second)*time.Second), rollout, brstatus.NewTally(good, 0, 10*good, 0), limits)
+		evaluator.Evaluate(start.Add(time.Duration(second)*time.Second), rollout, majority(brstatus.NewTally(good, 0, 10*good, 0)), limits)
 	}
-	decision := evaluator.Evaluate(start.Add(21*time.Second), rollout, brstatus.NewTally(196, 5, 2000, 0), limits)
+	decision := evaluator.Evaluate(start.Add(21*time.Second), rollout, majority(brstatus.NewTally(196, 5, 2000, 0)), limits)
 	require.Equal(t, brfleet.RolloutRolledBack, decision.State())
 }
 
@@ -222,14 +225,64 @@
 	evaluator := brrollout.NewEvaluator()
 	rollout := brfleet.NewRollout("lookup", "v2", 15*time.Second, 3).WithState(brfleet.RolloutRunning)
 	tally := brstatus.NewTally(100, 0, 900, 3)
-	evaluator.Evaluate(start, rollout, tally, limits)
-	decision := evaluator.Evaluate(start.Add(7*time.Second), rollout, tally, limits)
+	evaluator.Evaluate(start, rollout, majority(tally), limits)
+	decision := evaluator.Evaluate(start.Add(7*time.Second), rollout, majority(tally), limits)
 	require.Equal(t, brfleet.RolloutSucceeded, decision.State())
 }
 
 // No requests go to a version before its rollout is running.
 func TestOrderedRolloutGetsNoRequests(t *testing.T) {
-	decision := brrollout.NewEvaluator().Evaluate(start, brfleet.NewRollout("lookup", "v2", time.Minute, 3), brstatus.Tally{}, limits)
+	decision := brrollout.NewEvaluator().Evaluate(start, brfleet.NewRollout("lookup", "v2", time.Minute, 3), majority(brstatus.Tally{}), limits)
 	require.Equal(t, brfleet.RolloutRunning, decision.State())
 	require.Zero(t, decision.Share())
 }
+
+// A VM that reaches only a few of the others doesn't let a version succeed, but rolls it back.
+func TestMinorityDoesNotLetVersionSucceed(t *testing.T) {
+	evaluator := brrollout.NewEvaluator()
+	rollout := brfleet.NewRollout("lookup", "v2", 16*time.Second, 3)
+	evaluator.Evaluate(start, rollout, majority(brstatus.Tally{}), limits)
+	rollout = rollout.WithState(brfleet.RolloutRunning)
+	tally := brstatus.NewTally(60, 0, 500, 2)
+	evaluator.Evaluate(start.Add(9*time.Second), rollout, majority(brstatus.NewTally(20, 0, 300, 2)), limits)
+	decision := evaluator.Evaluate(start.Add(14*time.Second), rollout, brrollout.NewEvidence(tally, false), limits)
+	require.Equal(t, brfleet.RolloutRunning, decision.State())
+	require.Equal(t, brfleet.RolloutSucceeded, evaluator.Evaluate(start.Add(15*time.Second), rollout, majority(tally), limits).State())
+	bad := brrollout.NewEvidence(brstatus.NewTally(60, 30, 500, 2), false)
+	require.Equal(t, brfleet.RolloutRolledBack, evaluator.Evaluate(start.Add(15*time.Second), rollout, bad, limits).State())
+}
+
+// The first answers arrive late, so that a busy service looks like one with few requests. Its
+// version must not get a large share for that.
+func TestBusyServiceSendsSmallShareAtFirst(t *testing.T) {
+	evaluator := brrollout.NewEvaluator()
+	rollout := brfleet.NewRollout("lookup", "v2", 16*time.Second, 3)
+	evaluator.Evaluate(start, rollout, majority(brstatus.Tally{}), limits)
+	rollout = rollout.WithState(brfleet.RolloutRunning)
+	for elapsed := step; elapsed < 4*time.Second; elapsed += step {
+		counted := max(elapsed-1500*time.Millisecond, 0)
+		tally := brstatus.NewTally(0, 0, uint64(260*counted.Seconds()), 0)
+		decision := evaluator.Evaluate(start.Add(elapsed), rollout, majority(tally), limits)
+		require.LessOrEqual(t, decision.Share(), 0.1, "after %v", elapsed)
+	}
+}
+
+// A service with few requests sends its version a larger share, so that there is evidence.
+func TestQuietServiceSendsLargerShare(t *testing.T) {
+	evaluator := brrollout.NewEvaluator()
+	rollout := brfleet.NewRollout("lookup", "v2", 16*time.Second, 3)
+	evaluator.Evaluate(start, rollout, majority(brstatus.Tally{}), limits)
+	rollout = rollout.WithState(brfleet.RolloutRunning)
+	decision := evaluator.Evaluate(start.Add(3*time.Second), rollout, majority(brstatus.NewTally(1, 0, 11, 0)), limits)
+	require.InDelta(t, 0.5, decision.Share(), 1e-9)
+}
+
+// A VM that starts sees the order before the result, and takes the rollout for a new one.
+// Guards against a rollout that starts anew with it.
+func TestLongestKnownAgeCounts(t *testing.T) {
+	evaluator := brrollout.NewEvaluator()
+	rollout := brfleet.NewRollout("lookup", "v2", 16*time.Second, 3)
+	evaluator.Evaluate(start, rollout, majority(brstatus.Tally{}), limits)
+	evaluator.Evaluate(start.Add(time.Second), rollout, majority(brstatus.Tally{}.WithAge(9*time.Second)), limits)
+	require.Equal(t, 9*time.Second, evaluator.Age(start.Add(time.Second), 3))
+}
--- a/internal/duty/braggregator/duty.go
+++ b/internal/duty/braggregator/duty.go
@@ -5,6 +5,10 @@
 // Each VM reports its own status to a VM of its region that reads the store. Those VMs
 // exchange the sums of their regions and pass the sum of the fleet back.
 //
+// The counts of rollouts are kept by VM on all VMs, so that those of a VM that stops, in order
+// or not, stay known. They are lost only if all VMs stop at once, or with a VM that is killed
+// before it has reported them.
+//
 // # Usage
 //
 //	aggregator := braggregator.New(clock, self)
@@ -16,6 +20,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -80,7 +85,7 @@
 const (
 	kindDemands kind = iota
 	kindTallies
-	kindAges
+	kindRollouts
 	kindReport
 	kindRegion
 	kindFleet
@@ -97,7 +102,7 @@
 	status   brstatus.Status
 	demands  map[string]float64
 	tallies  map[uint64]brstatus.Tally
-	ages     map[uint64]time.Duration
+	rollouts map[uint64]Rollout
 	asOf     time.Time
 	isLeader bool
 	notice   brrequest.PoisonNotice
@@ -114,7 +119,8 @@
 func New(clock brclock.Clock, self brfleet.VM) *Aggregator {
 	h := &handler{
 		clock: clock, self: self, reports: braggregation.NewAggregator(self.Region()), isLeader: true,
-		notices: braggregation.NewNotices(noticeLifetime, maxNotices),
+		notices:  braggregation.NewNotices(noticeLifetime, maxNotices),
+		reporter: brstatus.Reporter(rand.Uint64()),
 	}
 	h.summary.Store(&Summary{})
 	return &Aggregator{
@@ -155,9 +161,18 @@
 	_ = a.duty.Queue().Send(message{kind: kindTallies, tallies: tallies})
 }
 
-// SetAges sets for how long this VM has known of each running rollout, by revision.
-func (a *Aggregator) SetAges(ages map[uint64]time.Duration) {
-	_ = a.duty.Queue().Send(message{kind: kindAges, ages: ages})
+// Rollout is what this VM knows of a rollout. It is immutable.
+type Rollout struct {
+	age   time.Duration
+	ended bool
+}
+
+// NewRollout returns a rollout that has been known to run for the given time, or has ended.
+func NewRollout(age time.Duration, ended bool) Rollout { return Rollout{age: age, ended: ended} }
+
+// SetRollouts sets the rollouts that this VM knows, by revision.
+func (a *Aggregator) SetRollouts(rollouts map[uint64]Rollout) {
+	_ = a.duty.Queue().Send(message{kind: kindRollouts, rollouts: rollouts})
 }
 
 // SetServers sets what this VM has at servers whose loads are exchanged.
@@ -191,23 +206,29 @@
 
 // handler owns the reports of other VMs and computes the sums.
 type handler struct {
-	clock         brclock.Clock
-	self          brfleet.VM
-	reports       *braggregation.Aggregator
-	subscribers   []*brring.Latest[*Summary]
-	summary       atomic.Pointer[Summary]
-	demands       map[string]float64
-	tallies       map[uint64]brstatus.Tally
-	ages          map[uint64]time.Duration
+	clock       brclock.Clock
+	self        brfleet.VM
+	reports     *braggregation.Aggregator
+	subscribers []*brring.Latest[*Summary]
+	summary     atomic.Pointer[Summary]
+	demands     map[string]float64
+	tallies     map[uint64]brstatus.Tally
+	rollouts    map[uint64]Rollout
+	// reporter identifies this run of the VM in ledgers.
+	reporter brstatus.Reporter
+	// ledger holds the tallies of all VMs, also of those that have stopped.
+	ledger        brstatus.Ledger
 	receivedFleet brstatus.Status
-	receivedAsOf  time.Time
-	isLeader      bool
-	leaderSince   time.Time
-	stopping      bool
-	stoppingSince time.Time
-	notices       *braggregation.Notices
-	listener      Listener
-	servers       map[brstatus.ServerKey]brstatus.ServerUse
+	// receivedLedger is the ledger of the VM that this one reports to.
+	receivedLedger brstatus.Ledger
+	receivedAsOf   time.Time
+	isLeader       bool
+	leaderSince    time.Time
+	stopping       bool
+	stoppingSince  time.Time
+	notices        *braggregation.Notices
+	listener       Listener
+	servers        map[brstatus.ServerKey]brstatus.ServerUse
 }
 
 // Handle processes one message.
@@ -219,14 +240,15 @@
 	case kindTallies:
 		h.tallies = m.tallies
 		h.recompute(now)
-	case kindAges:
-		h.ages = m.ages
+	case kindRollouts:
+		h.rollouts = m.rollouts
 	case kindReport:
-		h.reports.AddReport(now, m.name, m.region, m.status)
+		h.reports.AddReport(now, m.name, m.region, h.takeLedger(m.status))
 	case kindRegion:
-		h.reports.AddRegion(now, m.name, m.status)
+		h.reports.AddRegion(now, m.name, h.takeLedger(m.status))
 	case kindFleet:
-		h.receivedFleet = m.status
+		h.receivedLedger = m.status.Ledger()
+		h.receivedFleet = h.takeLedger(m.status)
 		h.reports.AddStops(now, m.status)
 		h.receivedAsOf = m.asOf
 		h.recompute(now)
@@ -258,12 +280,19 @@
 	if h.stopping {
 		members = nil
 	}
-	own := brstatus.New(members, h.demands, h.agedTallies()).WithPoison(h.notices.Published(now)).WithStopping(h.stoppingVMs(now)).WithServers(h.servers)
+	h.countOwn()
+	own := brstatus.New(members, h.demands, nil).WithPoison(h.notices.Published(now)).WithStopping(h.stoppingVMs(now)).WithServers(h.servers)
 	h.reports.AddReport(now, h.self.Name(), h.self.Region(), own)
-	summary := &Summary{own: own, region: h.reports.Region(now), isLeader: h.isLeader, fleet: h.receivedFleet, asOf: h.receivedAsOf}
+	summary := &Summary{
+		own:      own.WithLedger(h.ledger.Without(h.receivedLedger)),
+		region:   h.reports.Region(now),
+		isLeader: h.isLeader, fleet: h.receivedFleet, asOf: h.receivedAsOf,
+	}
 	if !h.usesReceivedFleet(now) {
 		summary.fleet, summary.asOf = h.reports.Total(now, summary.region), now
 	}
+	summary.region = summary.region.WithLedger(h.ledger)
+	summary.fleet = summary.fleet.WithLedger(h.ledger)
 	h.summary.Store(summary)
 	h.deliverNotices(now, summary.fleet)
 	for _, ring := range h.subscribers {
@@ -287,12 +316,35 @@
 	return map[string]time.Duration{h.self.Name(): now.Sub(h.stoppingSince)}
 }
 
-func (h *handler) agedTallies() map[uint64]brstatus.Tally {
-	aged := make(map[uint64]brstatus.Tally, len(h.ages))
-	for revision, age := range h.ages {
-		aged[revision] = h.tallies[revision].WithAge(age)
+// takeLedger merges the ledger of another VM into that of this one, and returns the status
+// without it.
+func (h *handler) takeLedger(status brstatus.Status) brstatus.Status {
+	h.ledger = h.ledger.Merge(status.Ledger().Filter(h.isCurrent))
+	return status.WithLedger(nil)
+}
+
+// countOwn adds what this VM has counted to the ledger, and removes the rollouts that have
+// ended.
+func (h *handler) countOwn() {
+	own := brstatus.Ledger{}
+	for revision, rollout := range h.rollouts {
+		own[revision] = map[brstatus.Reporter]brstatus.Tally{h.reporter: h.tallies[revision].WithAge(rollout.age)}
+	}
+	h.ledger = h.ledger.Merge(own).Filter(h.isCurrent)
+}
+
+// isCurrent reports whether a rollout runs, as far as this VM knows. Rollouts with a higher
+// revision than all known ones may have been ordered since.
+func (h *handler) isCurrent(revision uint64) bool {
+	if rollout, known := h.rollouts[revision]; known {
+		return !rollout.ended
+	}
+	for known := range h.rollouts {
+		if known > revision {
+			return false
+		}
 	}
-	return aged
+	return true
 }
 
 // usesReceivedFleet reports whether the fleet status received from another VM is preferred to
--- a/internal/duty/brcanary/duty.go
+++ b/internal/duty/brcanary/duty.go
@@ -27,6 +27,7 @@
 	"bergamotroad.example/bergamotroad/internal/duty/brreplicator"
 	"bergamotroad.example/bergamotroad/internal/duty/brresult"
 	"bergamotroad.example/bergamotroad/internal/model/brfleet"
+	"bergamotroad.example/bergamotroad/internal/model/brrecord"
 )
 
 const (
@@ -89,21 +90,22 @@
 	h.lastEvaluation = now
 	state := h.replicator.State()
 	rollouts := state.View().Rollouts()
-	if len(rollouts) == 0 {
-		return
+	if len(rollouts) == 0 || !state.IsKnown(brrecord.AreaResults) {
+		return // without the results, a rollout that runs would look like a new one
 	}
 	summary := h.aggregator.Summary()
 	exposures := map[string]brplacement.Exposure{}
-	ages := make(map[uint64]time.Duration, len(rollouts))
+	known := make(map[uint64]braggregator.Rollout, len(rollouts))
 	changed := false
 	for service, rollout := range rollouts {
 		tally := summary.Fleet().Tally(rollout.Revision())
 		limits := brrollout.NewLimits(h.bounds().ExposureShare(), h.bounds().ExposureSlack())
-		decision := h.evaluator.Evaluate(now, rollout, tally, limits)
+		evidence := brrollout.NewEvidence(tally, isMajority(summary, state))
+		decision := h.evaluator.Evaluate(now, rollout, evidence, limits)
 		if previous, ok := h.logged[rollout.Revision()]; ok && previous.Bad() {
 			decision = previous
 		}
-		ages[rollout.Revision()] = h.evaluator.Age(now, rollout.Revision())
+		known[rollout.Revision()] = braggregator.NewRollout(h.evaluator.Age(now, rollout.Revision()), rollout.State().Ended())
 		exposures[service] = brplacement.NewExposure(rollout.Revision(), decision.Share()).WithHalted(decision.Bad())
 		if h.logged[rollout.Revision()] != decision {
 			changed = true
@@ -111,16 +113,22 @@
 			h.journal.StateChange("rollout ruled", "service", service, "target", rollout.Target(), "revision", rollout.Revision(),
 				"share", decision.Share(), "state", string(decision.State()), "target_good", tally.TargetGood(), "target_bad", tally.TargetBad(),
 				"target_overdue", tally.TargetOverdue(),
-				"old_good", tally.OldGood(), "old_bad", tally.OldBad(), "old_overdue", tally.OldOverdue(), "age_ms", now.Sub(summary.AsOf()).Milliseconds())
+				"members", len(summary.Fleet().Members()), "old_good", tally.OldGood(), "old_bad", tally.OldBad(), "old_overdue", tally.OldOverdue(), "age_ms", now.Sub(summary.AsOf()).Milliseconds())
 		}
 		h.record(now, state, summary, rollout.WithState(decision.State()), rollout.State())
 	}
-	h.aggregator.SetAges(ages)
+	h.aggregator.SetRollouts(known)
 	if changed {
 		h.assigner.SetExposures(exposures)
 	}
 }
 
+// isMajority reports whether at least half of the registered VMs report to each other and to
+// this VM.
+func isMajority(summary *braggregator.Summary, state *brreplicator.State) bool {
+	return 2*len(summary.Fleet().Members()) >= len(state.View().VMs())
+}
+
 // record writes a result that differs from the stored one. Each VM waits longer than
 // those ranked before it; it doesn't rely on them, since they may be cut off from the
 // store.
--- a/internal/model/brstatus/status.go
+++ b/internal/model/brstatus/status.go
@@ -24,7 +24,7 @@
 type Status struct {
 	members  []string           // sorted
 	demands  map[string]float64 // requests per second, by organisation
-	tallies  map[uint64]Tally   // by revision of the rollout's order
+	ledger   Ledger
 	poison   []brrequest.PoisonNotice
 	stopping map[string]time.Duration // time since a VM announced its shutdown, by VM
 	usage    brmeter.Usage            // of one message; not part of sums
@@ -71,10 +71,17 @@
 func NewServerKey(id string) ServerKey { return ServerKey(xxhash.Sum64String(id)) }
 
 // New returns a status with the live and serving VMs, the demand in requests per
-// second by organisation, and the tallies by revision of the rollout's order. The
-// maps must not be modified afterwards.
-func New(members []string, demands map[string]float64, tallies map[uint64]Tally) Status {
-	return Status{members: slices.Sorted(slices.Values(members)), demands: demands, tallies: tallies}
+// second by organisation, and the tallies of rollouts. The maps must not be modified
+// afterwards.
+func New(members []string, demands map[string]float64, ledger Ledger) Status {
+	return Status{members: slices.Sorted(slices.Values(members)), demands: demands, ledger: ledger}
+}
+
+// WithLedger returns the status with other tallies of rollouts. The ledger must not be
+// modified afterwards.
+func (s Status) WithLedger(ledger Ledger) Status {
+	s.ledger = ledger
+	return s
 }
 
 // WithPoison returns the status with notices of requests that crash servers. The
@@ -143,13 +150,13 @@
 func (s Status) Demands() map[string]float64 { return s.demands }
 
 // Tally returns the tally of the rollout with a revision.
-func (s Status) Tally(revision uint64) Tally { return s.tallies[revision] }
+func (s Status) Tally(revision uint64) Tally { return s.ledger.Tally(revision) }
 
-// Tallies returns all tallies by revision. The map must not be modified.
-func (s Status) Tallies() map[uint64]Tally { return s.tallies }
+// Ledger returns the tallies of all rollouts. It must not be modified.
+func (s Status) Ledger() Ledger { return s.ledger }
 
-// Merge merges two statuses: it adds up demands, tallies and uses of servers, unites members and
-// notices, and keeps the later of two shutdown announcements of a VM.
+// Merge merges two statuses: it adds up demands and uses of servers, unites members, notices and
+// tallies of VMs, and keeps the later of two shutdown announcements of a VM.
 func (s Status) Merge(o Status) Status {
 	demands := maps.Clone(s.demands)
 	if demands == nil {
@@ -158,14 +165,7 @@
 	for name, demand := range o.demands {
 		demands[name] += demand
 	}
-	tallies := maps.Clone(s.tallies)
-	if tallies == nil {
-		tallies = map[uint64]Tally{}
-	}
-	for revision, tally := range o.tallies {
-		tallies[revision] = tallies[revision].Add(tally)
-	}
-	return New(slices.Compact(slices.Sorted(slices.Values(slices.Concat(s.members, o.members)))), demands, tallies).
+	return New(slices.Compact(slices.Sorted(slices.Values(slices.Concat(s.members, o.members)))), demands, s.ledger.Merge(o.ledger)).
 		WithPoison(union(s.poison, o.poison)).
 		WithStopping(latest(s.stopping, o.stopping)).
 		WithServers(add(s.servers, o.servers))
--- a/internal/model/brstatus/tally.go
+++ b/internal/model/brstatus/tally.go
@@ -73,6 +73,15 @@
 	return Tally{target: t.target.sub(earlier.target), old: t.old.sub(earlier.old), age: t.age}
 }
 
+// latest returns the later of two tallies of the same reporter, whose counts only grow.
+func (t Tally) latest(o Tally) Tally {
+	return Tally{target: t.target.max(o.target), old: t.old.max(o.old), age: max(t.age, o.age)}
+}
+
+func (c counts) max(o counts) counts {
+	return counts{good: max(c.good, o.good), bad: max(c.bad, o.bad), overdue: max(c.overdue, o.overdue)}
+}
+
 func (c counts) sum() uint64 { return c.good + c.bad + c.overdue }
 
 func (c counts) add(o counts) counts {
@@ -87,8 +96,8 @@
 	}
 }
 
-// saturatingSub subtracts counts and returns 0 instead of a negative result: a
-// VM that restarts loses its counts, so that a later sum may be the smaller one.
+// saturatingSub subtracts counts and returns 0 instead of a negative result: a later sum may
+// be the smaller one if no VM that is alive knows the counts of one that has stopped.
 func saturatingSub(a, b uint64) uint64 {
 	if a < b {
 		return 0
--- a/internal/peer/brentry/sync.go
+++ b/internal/peer/brentry/sync.go
@@ -141,21 +141,9 @@
 
 func encodeStatus(status brstatus.Status) *brentrypb.StandingMessage {
 	message := &brentrypb.StandingMessage{
-		Members: status.Members(),
-		Demands: status.Demands(),
-		Tallies: map[uint64]*brentrypb.TallyMessage{},
-	}
-	for revision, t := range status.Tallies() {
-		message.Tallies[revision] = &brentrypb.TallyMessage{
-			TargetGood: t.TargetGood(),
-			TargetBad:  t.TargetBad(),
-			OldGood:    t.OldGood(),
-			OldBad:     t.OldBad(),
-
-			TargetOverdue:   t.TargetOverdue(),
-			OldOverdue:      t.OldOverdue(),
-			AgeMilliseconds: uint32(max(t.Age().Milliseconds(), 0)),
-		}
+		Members:  status.Members(),
+		Demands:  status.Demands(),
+		Rollouts: encodeLedger(status.Ledger()),
 	}
 	for vm, age := range status.Stopping() {
 		message.Left = append(message.Left, &brentrypb.LeftMessage{Vm: vm, AgeMilliseconds: uint32(max(age.Milliseconds(), 0))})
@@ -174,12 +162,6 @@
 }
 
 func decodeStatus(message *brentrypb.StandingMessage) brstatus.Status {
-	tallies := make(map[uint64]brstatus.Tally, len(message.GetTallies()))
-	for revision, t := range message.GetTallies() {
-		tallies[revision] = brstatus.NewTally(t.GetTargetGood(), t.GetTargetBad(), t.GetOldGood(), t.GetOldBad()).
-			WithOverdue(t.GetTargetOverdue(), t.GetOldOverdue()).
-			WithAge(time.Duration(t.GetAgeMilliseconds()) * time.Millisecond)
-	}
 	notices := []brrequest.PoisonNotice{}
 	for _, m := range message.GetPoison() {
 		if notice, ok := decodeNotice(m); ok {
@@ -190,7 +172,7 @@
 	for _, m := range message.GetLeft() {
 		stopping[m.GetVm()] = time.Duration(m.GetAgeMilliseconds()) * time.Millisecond
 	}
-	return brstatus.New(message.GetMembers(), validDemands(message.GetDemands()), tallies).WithPoison(notices).WithStopping(stopping).
+	return brstatus.New(message.GetMembers(), validDemands(message.GetDemands()), decodeLedger(message.GetRollouts())).WithPoison(notices).WithStopping(stopping).
 		WithUsage(decodeUsage(message.GetUsage())).
 		WithServers(decodeServers(message))
 }
