Let VMs that start learn of requests that crash servers

After a round of restarts the VMs passed on a request again that all of them had refused.

Cause: refusals were kept in memory, and a VM that starts learned of one only from the VM that had observed a crash. The logs of the VMs show that the first VM of a region reads the store at once and reports to none, and that the others avoid it for 2 to 8 s after it was down; by then they had been restarted, too.

Change: VMs tell each other of refused requests and of suspects of two crashes, with the time that remains, where the other doesn't know them. A refusal is not renewed and a lift not undone by that. Of related paths, serve has the same fault and is not mended here.

--- a/internal/decide/brpoison/detector.go
+++ b/internal/decide/brpoison/detector.go
@@ -37,6 +37,14 @@
 	// clearanceRetention is how long a clearance is kept, since it may arrive
 	// before the notice of the crash that it refers to.
 	clearanceRetention = 30 * time.Second
+	// minCaseCrashes is the number of crashes from which other VMs are told of a suspect
+	// again and again. Many harmless requests run on a server that crashes once.
+	minCaseCrashes = 2
+	// maxCases bounds the requests of which other VMs are told again and again.
+	maxCases = 64
+	// minRemaining is the remaining time below which what another VM knows is not taken over:
+	// VMs would pass on to each other what is about to end.
+	minRemaining = 5 * time.Second
 )
 
 // Verdict says whether a request may run.
@@ -75,6 +83,9 @@
 	refused  map[brrequest.Fingerprint]time.Time // value: end of the refusal
 	harmless *recentSet
 	cleared  map[crash]time.Time // value: time of the clearance
+	// lifted holds when suspicions and refusals ended before their time, so that VMs that
+	// don't know that yet don't bring them back.
+	lifted   map[brrequest.Fingerprint]time.Time
 	trial    brrequest.Fingerprint
 	trialEnd time.Time
 }
@@ -98,6 +109,7 @@
 		refused:  map[brrequest.Fingerprint]time.Time{},
 		harmless: newRecentSet(maxHarmless),
 		cleared:  map[crash]time.Time{},
+		lifted:   map[brrequest.Fingerprint]time.Time{},
 	}
 }
 
@@ -125,6 +137,7 @@
 	servers := []string{}
 	if s, ok := d.suspects[fingerprint]; ok {
 		servers = slices.Sorted(s.servers.All())
+		d.recordLift(now, fingerprint)
 	}
 	delete(d.suspects, fingerprint)
 	d.harmless.add(now, fingerprint)
@@ -190,11 +203,18 @@
 // refused.
 func (d *Detector[P]) Lift(now time.Time, fingerprint brrequest.Fingerprint) bool {
 	wasRefused := d.IsRefused(now, fingerprint)
+	d.recordLift(now, fingerprint)
 	delete(d.refused, fingerprint)
 	delete(d.suspects, fingerprint)
 	return wasRefused
 }
 
+func (d *Detector[P]) recordLift(now time.Time, fingerprint brrequest.Fingerprint) {
+	if len(d.lifted) < maxSuspects {
+		d.lifted[fingerprint] = now
+	}
+}
+
 // Expire removes suspects, refusals and clearances that have expired.
 func (d *Detector[P]) Expire(now time.Time) {
 	for fingerprint, until := range d.refused {
@@ -202,6 +222,7 @@
 			delete(d.refused, fingerprint)
 		}
 	}
+	maps.DeleteFunc(d.lifted, func(_ brrequest.Fingerprint, at time.Time) bool { return now.Sub(at) > refusalPeriod })
 	maps.DeleteFunc(d.cleared, func(_ crash, at time.Time) bool { return now.Sub(at) > clearanceRetention })
 	for fingerprint, s := range d.suspects {
 		if !s.end.After(now) {
@@ -233,3 +254,68 @@
 	slices.SortFunc(refusals, func(a, b Refusal) int { return a.until.Compare(b.until) })
 	return refusals
 }
+
+// Cases returns what VMs that start later need to know: the refused requests, and the suspects
+// of several crashes; the former first, and those that end last before others.
+func (d *Detector[P]) Cases(now time.Time) []brrequest.PoisonCase {
+	refused, suspects := []brrequest.PoisonCase{}, []brrequest.PoisonCase{}
+	for fingerprint, until := range d.refused {
+		if until.After(now) {
+			refused = append(refused, brrequest.NewRefusedCase(fingerprint, until))
+		}
+	}
+	for fingerprint, s := range d.suspects {
+		if s.end.After(now) && s.servers.Len() >= minCaseCrashes {
+			suspects = append(suspects, brrequest.NewSuspectCase(fingerprint, slices.Sorted(s.servers.All()), s.end))
+		}
+	}
+	latestFirst := func(a, b brrequest.PoisonCase) int { return b.End().Compare(a.End()) }
+	slices.SortFunc(refused, latestFirst)
+	slices.SortFunc(suspects, latestFirst)
+	cases := slices.Concat(refused, suspects)
+	return cases[:min(len(cases), maxCases)]
+}
+
+// Adopt takes over what another VM knows of a request, for the time that remains there. A
+// refusal is not renewed, and what ended here before its time is not brought back: the finding
+// is Cleared if nothing is taken over.
+func (d *Detector[P]) Adopt(now time.Time, c brrequest.PoisonCase) Finding {
+	fingerprint := c.Fingerprint()
+	_, lifted := d.lifted[fingerprint]
+	if lifted || d.IsRefused(now, fingerprint) || c.End().Sub(now) < minRemaining || d.harmless.addedSince(fingerprint, now.Add(-harmlessPeriod)) {
+		return Cleared
+	}
+	if c.IsRefused() {
+		delete(d.suspects, fingerprint)
+		d.refused[fingerprint] = minTime(c.End(), now.Add(refusalPeriod))
+		return Confirmed
+	}
+	return d.adoptSuspect(now, c)
+}
+
+func (d *Detector[P]) adoptSuspect(now time.Time, c brrequest.PoisonCase) Finding {
+	s, known := d.suspects[c.Fingerprint()]
+	if !known && len(d.suspects) >= maxSuspects {
+		return Cleared
+	}
+	if !known || !s.end.After(now) {
+		s = &suspect{end: minTime(c.End(), now.Add(suspicionPeriod))}
+		d.suspects[c.Fingerprint()] = s
+	}
+	for _, server := range c.Servers() {
+		s.servers.Add(server)
+	}
+	if s.servers.Len() < d.policy.CrashThreshold() {
+		return Suspected
+	}
+	delete(d.suspects, c.Fingerprint())
+	d.refused[c.Fingerprint()] = s.end
+	return Confirmed
+}
+
+func minTime(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
--- a/internal/decide/brpoison/detector_test.go
+++ b/internal/decide/brpoison/detector_test.go
@@ -116,3 +116,30 @@
 	detector.Expire(start.Add(time.Hour))
 	require.Equal(t, brpoison.Suspected, detector.RecordCrash(start.Add(time.Hour), f, "a"))
 }
+
+// Guards against a VM that starts later and doesn't know what crashed servers before, and
+// against VMs that renew each other's refusals or bring back what was lifted.
+func TestCasesAreAdoptedForTheTimeThatRemains(t *testing.T) {
+	old, fresh := brpoison.NewDetector[brpoison.ConcurrentPolicy](), brpoison.NewDetector[brpoison.ConcurrentPolicy]()
+	poison, twice, once := fingerprintOf("/poison"), fingerprintOf("/twice"), fingerprintOf("/once")
+	for _, server := range []string{"a", "b", "c"} {
+		old.RecordCrash(start, poison, server)
+	}
+	old.RecordCrash(start, twice, "a")
+	old.RecordCrash(start, twice, "b")
+	old.RecordCrash(start, once, "a")
+	later := start.Add(time.Minute)
+	cases := old.Cases(later)
+	require.Len(t, cases, 2, "one crash alone is not passed on")
+	require.Equal(t, brpoison.Confirmed, fresh.Adopt(later, cases[0]))
+	require.Equal(t, brpoison.Suspected, fresh.Adopt(later, cases[1]))
+	require.Equal(t, brpoison.Refused, fresh.Begin(later, poison))
+	require.Equal(t, old.Refusals(later), fresh.Refusals(later))
+	require.Equal(t, brpoison.Cleared, fresh.Adopt(later, brrequest.NewRefusedCase(poison, later.Add(time.Hour))), "it is known already")
+	require.Equal(t, brpoison.Confirmed, fresh.RecordCrash(later, twice, "c"), "the third crash counts on the VM that adopted two")
+	fresh.Lift(later, poison)
+	require.Equal(t, brpoison.Cleared, fresh.Adopt(later, cases[0]), "it was lifted here")
+	require.Equal(t, brpoison.Admitted, fresh.Begin(later, poison))
+	end := start.Add(10*time.Minute - time.Second)
+	require.Equal(t, brpoison.Cleared, brpoison.NewDetector[brpoison.ConcurrentPolicy]().Adopt(end, cases[0]), "it is about to end")
+}
--- a/internal/duty/braggregator/duty.go
+++ b/internal/duty/braggregator/duty.go
@@ -48,10 +48,12 @@
 	maxNotices = 64
 )
 
-// Listener receives notices of poison requests from other VMs.
+// Listener receives what other VMs know of poison requests.
 type Listener interface {
 	// Receive receives the notice of another VM.
 	Receive(notice brrequest.PoisonNotice)
+	// Adopt takes over what another VM knows of poison requests.
+	Adopt(cases []brrequest.PoisonCase)
 }
 
 // Summary is the status of the fleet, of this VM's region and of this VM at one point in
@@ -93,6 +95,7 @@
 	kindLeave
 	kindNotice
 	kindServers
+	kindCases
 )
 
 type message struct {
@@ -107,6 +110,7 @@
 	isLeader bool
 	notice   brrequest.PoisonNotice
 	servers  map[brstatus.ServerKey]brstatus.ServerUse
+	cases    []brrequest.PoisonCase
 }
 
 // Aggregator is the duty that aggregates fleet status and its API.
@@ -180,6 +184,11 @@
 	_ = a.duty.Queue().Send(message{kind: kindServers, servers: servers})
 }
 
+// KeepCases sets what this VM knows of poison requests and passes on to VMs that don't.
+func (a *Aggregator) KeepCases(cases []brrequest.PoisonCase) {
+	_ = a.duty.Queue().Send(message{kind: kindCases, cases: cases})
+}
+
 // Report records the status reported by another VM.
 func (a *Aggregator) Report(vm, region string, status brstatus.Status) {
 	_ = a.duty.Queue().Send(message{kind: kindReport, name: vm, region: region, status: status})
@@ -221,14 +230,18 @@
 	receivedFleet brstatus.Status
 	// receivedLedger is the ledger of the VM that this one reports to.
 	receivedLedger brstatus.Ledger
-	receivedAsOf   time.Time
-	isLeader       bool
-	leaderSince    time.Time
-	stopping       bool
-	stoppingSince  time.Time
-	notices        *braggregation.Notices
-	listener       Listener
-	servers        map[brstatus.ServerKey]brstatus.ServerUse
+	// cases are the poison requests that this VM knows, and receivedCases those that the VM
+	// knows that this one reports to.
+	cases         poisonCases
+	receivedCases poisonCases
+	receivedAsOf  time.Time
+	isLeader      bool
+	leaderSince   time.Time
+	stopping      bool
+	stoppingSince time.Time
+	notices       *braggregation.Notices
+	listener      Listener
+	servers       map[brstatus.ServerKey]brstatus.ServerUse
 }
 
 // Handle processes one message.
@@ -243,12 +256,13 @@
 	case kindRollouts:
 		h.rollouts = m.rollouts
 	case kindReport:
-		h.reports.AddReport(now, m.name, m.region, h.takeLedger(m.status))
+		h.reports.AddReport(now, m.name, m.region, h.take(m.status))
 	case kindRegion:
-		h.reports.AddRegion(now, m.name, h.takeLedger(m.status))
+		h.reports.AddRegion(now, m.name, h.take(m.status))
 	case kindFleet:
 		h.receivedLedger = m.status.Ledger()
-		h.receivedFleet = h.takeLedger(m.status)
+		h.receivedCases = newPoisonCases(m.status.Cases())
+		h.receivedFleet = h.take(m.status)
 		h.reports.AddStops(now, m.status)
 		h.receivedAsOf = m.asOf
 		h.recompute(now)
@@ -263,6 +277,9 @@
 	case kindServers:
 		h.servers = m.servers
 		h.recompute(now)
+	case kindCases:
+		h.cases = newPoisonCases(m.cases)
+		h.recompute(now)
 	case kindNotice:
 		h.notices.Publish(now, m.notice)
 		h.recompute(now)
@@ -284,15 +301,15 @@
 	own := brstatus.New(members, h.demands, nil).WithPoison(h.notices.Published(now)).WithStopping(h.stoppingVMs(now)).WithServers(h.servers)
 	h.reports.AddReport(now, h.self.Name(), h.self.Region(), own)
 	summary := &Summary{
-		own:      own.WithLedger(h.ledger.Without(h.receivedLedger)),
+		own:      own.WithLedger(h.ledger.Without(h.receivedLedger)).WithCases(h.cases.without(h.receivedCases)),
 		region:   h.reports.Region(now),
 		isLeader: h.isLeader, fleet: h.receivedFleet, asOf: h.receivedAsOf,
 	}
 	if !h.usesReceivedFleet(now) {
 		summary.fleet, summary.asOf = h.reports.Total(now, summary.region), now
 	}
-	summary.region = summary.region.WithLedger(h.ledger)
-	summary.fleet = summary.fleet.WithLedger(h.ledger)
+	summary.region = summary.region.WithLedger(h.ledger).WithCases(h.cases.all())
+	summary.fleet = summary.fleet.WithLedger(h.ledger).WithCases(h.cases.all())
 	h.summary.Store(summary)
 	h.deliverNotices(now, summary.fleet)
 	for _, ring := range h.subscribers {
@@ -316,11 +333,14 @@
 	return map[string]time.Duration{h.self.Name(): now.Sub(h.stoppingSince)}
 }
 
-// takeLedger merges the ledger of another VM into that of this one, and returns the status
-// without it.
-func (h *handler) takeLedger(status brstatus.Status) brstatus.Status {
+// take takes over what another VM knows of rollouts and poison requests, and returns the
+// status without it.
+func (h *handler) take(status brstatus.Status) brstatus.Status {
 	h.ledger = h.ledger.Merge(status.Ledger().Filter(h.isCurrent))
-	return status.WithLedger(nil)
+	if unknown := newPoisonCases(status.Cases()).without(h.cases); len(unknown) > 0 {
+		h.listener.Adopt(unknown)
+	}
+	return status.WithLedger(nil).WithCases(nil)
 }
 
 // countOwn adds what this VM has counted to the ledger, and removes the rollouts that have
--- a/internal/duty/brquarantine/duty.go
+++ b/internal/duty/brquarantine/duty.go
@@ -43,6 +43,12 @@
 	Broadcast(notice brrequest.PoisonNotice)
 }
 
+// Keeper passes on what this VM knows of poison requests to VMs that start later.
+type Keeper interface {
+	// KeepCases replaces what is passed on, without waiting.
+	KeepCases(cases []brrequest.PoisonCase)
+}
+
 type action int
 
 const (
@@ -53,12 +59,14 @@
 	actionNotice
 	actionLift
 	actionList
+	actionAdopt
 )
 
 type message struct {
 	action      action
 	fingerprint brrequest.Fingerprint
 	notice      brrequest.PoisonNotice
+	cases       []brrequest.PoisonCase
 	reply       brring.Reply[answer]
 }
 
@@ -71,6 +79,7 @@
 // Detector is the duty and its client methods, which may be called concurrently.
 type Detector[P brpoison.Policy] struct {
 	duty    *brduty.Duty[message, struct{}]
+	handler *handler[P]
 	answers *brring.ReplyPool[answer]
 	refused *atomic.Pointer[refusals]
 }
@@ -85,11 +94,16 @@
 	h.refused.Store(&refusals{})
 	return &Detector[P]{
 		duty:    brduty.New[message, struct{}]("poisoning", h, clock, brduty.WithCapacity(queueCapacity), brduty.WithPeriod(expiryPeriod)),
+		handler: h,
 		answers: brring.NewReplyPool[answer](),
 		refused: &h.refused,
 	}
 }
 
+// SetKeeper sets what passes on the cases of this VM. It must be called before the duty
+// starts.
+func (d *Detector[P]) SetKeeper(keeper Keeper) { d.handler.keeper = keeper }
+
 // Refused returns until when a request is refused, if it is. It doesn't wait for the duty.
 func (d *Detector[P]) Refused(fingerprint brrequest.Fingerprint) (time.Time, bool) {
 	until, ok := (*d.refused.Load())[fingerprint]
@@ -129,6 +143,11 @@
 	_ = d.duty.Queue().Send(message{action: actionNotice, notice: notice})
 }
 
+// Adopt takes over what another VM knows of poison requests.
+func (d *Detector[P]) Adopt(cases []brrequest.PoisonCase) {
+	_ = d.duty.Queue().Send(message{action: actionAdopt, cases: cases})
+}
+
 // Lift ends the refusal of a request on all VMs. It reports whether this VM was
 // refusing the request.
 func (d *Detector[P]) Lift(ctx context.Context, fingerprint brrequest.Fingerprint) (bool, error) {
@@ -157,6 +176,7 @@
 	clock       brclock.Clock
 	events      brevent.Recorder
 	broadcaster Broadcaster
+	keeper      Keeper // nil if nothing is passed on to VMs that start later
 	detector    *brpoison.Detector[P]
 	refused     atomic.Pointer[refusals]
 	observed    []brrequest.PoisonNotice // crashes observed by this VM, oldest first
@@ -181,6 +201,25 @@
 		h.broadcaster.Broadcast(brrequest.NewPoisonLift(m.fingerprint))
 	case actionList:
 		m.reply.Answer(answer{refusals: h.detector.Refusals(now)})
+	case actionAdopt:
+		h.adopt(now, m.cases)
+	}
+}
+
+// adopt takes over what another VM knows.
+func (h *handler[P]) adopt(now time.Time, cases []brrequest.PoisonCase) {
+	adopted := false
+	for _, c := range cases {
+		finding := h.detector.Adopt(now, c)
+		adopted = adopted || finding != brpoison.Cleared
+		if finding == brpoison.Confirmed {
+			h.events.Record(brevent.New(brevent.KindPoisonRefused).
+				WithDetail("fingerprint", c.Fingerprint().String()).
+				WithDetail("from", "another VM"))
+		}
+	}
+	if adopted {
+		h.publish(now)
 	}
 }
 
@@ -218,7 +257,7 @@
 	}
 }
 
-// publish makes the refusals in force visible to Refused.
+// publish makes the refusals in force visible to Refused, and passes them on.
 func (h *handler[P]) publish(now time.Time) {
 	list := h.detector.Refusals(now)
 	ends := make(refusals, len(list))
@@ -226,12 +265,24 @@
 		ends[r.Fingerprint()] = r.Until()
 	}
 	h.refused.Store(&ends)
+	h.keep(now)
+}
+
+// keep passes on what VMs that start later need to know.
+func (h *handler[P]) keep(now time.Time) {
+	if h.keeper != nil {
+		h.keeper.KeepCases(h.detector.Cases(now))
+	}
 }
 
 func (h *handler[P]) recordCompletion(now time.Time, fingerprint brrequest.Fingerprint) {
-	for _, server := range h.detector.RecordCompletion(now, fingerprint) {
+	servers := h.detector.RecordCompletion(now, fingerprint)
+	for _, server := range servers {
 		h.sendClearance(fingerprint, server)
 	}
+	if len(servers) > 0 {
+		h.keep(now)
+	}
 }
 
 // sendClearance tells the other VMs that a server's crash had another cause.
@@ -273,6 +324,7 @@
 // known to be harmless.
 func (h *handler[P]) countCrash(now time.Time, notice brrequest.PoisonNotice) bool {
 	finding := h.detector.RecordCrash(now, notice.Fingerprint(), notice.Server())
+	h.keep(now)
 	if finding == brpoison.Confirmed {
 		h.publish(now)
 		h.events.Record(brevent.New(brevent.KindPoisonRefused).
--- a/internal/model/brstatus/status.go
+++ b/internal/model/brstatus/status.go
@@ -26,6 +26,7 @@
 	demands  map[string]float64 // requests per second, by organisation
 	ledger   Ledger
 	poison   []brrequest.PoisonNotice
+	cases    []brrequest.PoisonCase   // of one message; not part of sums
 	stopping map[string]time.Duration // time since a VM announced its shutdown, by VM
 	usage    brmeter.Usage            // of one message; not part of sums
 	servers  map[ServerKey]ServerUse  // what VMs have at servers, and what they saw there
@@ -95,6 +96,18 @@
 // The slice must not be modified.
 func (s Status) Poison() []brrequest.PoisonNotice { return s.poison }
 
+// WithCases returns the status with the requests that crash servers, as its sender knows them.
+// They are part of one message only: each VM keeps those that it receives. The slice must not
+// be modified afterwards.
+func (s Status) WithCases(cases []brrequest.PoisonCase) Status {
+	s.cases = cases
+	return s
+}
+
+// Cases returns the requests that crash servers, as the sender of the status knows them. The
+// slice must not be modified.
+func (s Status) Cases() []brrequest.PoisonCase { return s.cases }
+
 // WithStopping returns the status with the time since each of the stopping VMs
 // announced its shutdown. The map must not be modified afterwards.
 func (s Status) WithStopping(stopping map[string]time.Duration) Status {
--- a/internal/peer/brentry/sync.go
+++ b/internal/peer/brentry/sync.go
@@ -157,6 +157,7 @@
 	for _, notice := range status.Poison() {
 		message.Poison = append(message.Poison, encodeNotice(notice))
 	}
+	message.Cases = encodeCases(time.Now(), status.Cases())
 	message.Usage = encodeUsage(status.Usage())
 	return message
 }
@@ -173,6 +174,7 @@
 		stopping[m.GetVm()] = time.Duration(m.GetAgeMilliseconds()) * time.Millisecond
 	}
 	return brstatus.New(message.GetMembers(), validDemands(message.GetDemands()), decodeLedger(message.GetRollouts())).WithPoison(notices).WithStopping(stopping).
+		WithCases(decodeCases(time.Now(), message.GetCases())).
 		WithUsage(decodeUsage(message.GetUsage())).
 		WithServers(decodeServers(message))
 }
--- a/internal/service/brentryvm/vm.go
+++ b/internal/service/brentryvm/vm.go
@@ -34,6 +34,7 @@
 	"bergamotroad.example/bergamotroad/internal/duty/brassignment"
 	"bergamotroad.example/bergamotroad/internal/duty/brcanary"
 	"bergamotroad.example/bergamotroad/internal/duty/brexchanger"
+	"bergamotroad.example/bergamotroad/internal/duty/brintroduction"
 	"bergamotroad.example/bergamotroad/internal/duty/brjournal"
 	"bergamotroad.example/bergamotroad/internal/duty/brquarantine"
 	"bergamotroad.example/bergamotroad/internal/duty/brregistration"
@@ -112,7 +113,8 @@
 	v.client = brentry.NewSyncClient(brentry.NewPlainConnector())
 	v.syncer = brsyncer.New(v.clock, v.config.self, v.config.seeds, v.replicator, v.aggregator, watchers, v.client, v.journal)
 	v.syncer.SetUsage(v.counter)
-	v.duties = append(v.duties, v.syncer.Duty())
+	introducer := brintroduction.New(v.clock, v.config.self, v.replicator, v.aggregator, v.client, v.journal)
+	v.duties = append(v.duties, v.syncer.Duty(), introducer.Duty())
 	for _, region := range otherRegions(v.config) {
 		exchanger := brexchanger.New(v.clock, v.config.self, region, v.replicator, v.aggregator, v.client)
 		exchanger.SetUsage(v.counter)
@@ -125,6 +127,7 @@
 func (v *VM) addProxy(adapter Adapter) *brproxy.Proxy {
 	detector := brquarantine.New[brpoison.ConcurrentPolicy](v.clock, eventLogger{journal: v.journal}, v.aggregator)
 	v.aggregator.SetListener(detector)
+	detector.SetKeeper(v.aggregator)
 	assigner := brassignment.New(v.clock, v.config.self, v.config.bounds, v.aggregator, detector, v.journal)
 	v.replicator.Subscribe(assigner.Views())
 	v.collectors = append(v.collectors, v.replicator.Collectors()...)
