Count requests that outlast their callers in the gates of moves

In serve, a version that answers only after its callers' deadlines could be moved to: the gate of a move ignored requests that callers had cancelled, so that the late half of a version's answers counted for nothing and the other half proved its steps.

Change: a cancelled request counts as a slow answer, for both versions alike, if the server had it for longer than nine in ten answers of the old version take, and if it got there. It proves no step. The balancer still gets its latency as before.

--- a/internal/decide/brmove/comparison.go
+++ b/internal/decide/brmove/comparison.go
@@ -126,6 +126,12 @@
 	}
 }
 
+// isOverdue reports whether a request without an answer has taken longer than the old version
+// usually takes.
+func (c *comparison) isOverdue(latency time.Duration) bool {
+	return c.baseline.answered() >= minBaselineOutcomes && bucketOf(latency) >= c.baseline.slowBucket()
+}
+
 // regression returns the measure by which the new version is worse (faults or latency),
 // or "".
 func (c *comparison) regression() string {
--- a/internal/decide/brmove/gate.go
+++ b/internal/decide/brmove/gate.go
@@ -122,11 +122,11 @@
 	return []string{g.move.From()}
 }
 
-// Observe records the outcome of a request that a version ran. It ignores requests
-// that were shed or cancelled, which show nothing about the version.
+// Observe records the outcome of a request that a version ran. It ignores requests that were
+// shed, which show nothing about the version, and cancelled ones, unless the server had them
+// for longer than the old version usually takes.
 func (g *Gate) Observe(now time.Time, version string, outcome brrequest.Outcome) {
-	isRelevant := isFault(outcome.Kind()) || outcome.Kind() == brrequest.OutcomeAnswered
-	if !isRelevant || !isOpen(g.move) {
+	if !isOpen(g.move) || !g.isRelevant(outcome) {
 		return
 	}
 	g.decay(now)
@@ -140,11 +140,22 @@
 		c.baseline.observe(outcome)
 	case g.move.To():
 		c.candidate.observe(outcome)
-		c.stepOutcomes++
+		if outcome.Kind() != brrequest.OutcomeCancelled {
+			c.stepOutcomes++
+		}
 		g.stopIfWorse(outcome.Route(), c)
 	}
 }
 
+// isRelevant reports whether an outcome shows something about the version.
+func (g *Gate) isRelevant(outcome brrequest.Outcome) bool {
+	if outcome.Kind() == brrequest.OutcomeCancelled {
+		c, ok := g.routes[outcome.Route()]
+		return ok && outcome.Fate() != brrequest.FateNotRun && c.isOverdue(outcome.Latency())
+	}
+	return isFault(outcome.Kind()) || outcome.Kind() == brrequest.OutcomeAnswered
+}
+
 // decay reduces the weight of old outcomes once per decayInterval.
 func (g *Gate) decay(now time.Time) {
 	if now.Sub(g.decayedAt) < decayInterval {
--- a/internal/model/brrequest/outcome.go
+++ b/internal/model/brrequest/outcome.go
@@ -28,6 +28,7 @@
 	kind    OutcomeKind
 	latency time.Duration
 	route   string
+	fate    Fate
 }
 
 // NewOutcome returns the outcome of a request to a server, with the time from
@@ -42,6 +43,15 @@
 	return o
 }
 
+// WithFate returns the outcome with whether the server ran the request.
+func (o Outcome) WithFate(fate Fate) Outcome {
+	o.fate = fate
+	return o
+}
+
+// Fate returns whether the server ran the request.
+func (o Outcome) Fate() Fate { return o.fate }
+
 // Route returns the name of the request's route, or "" if it is irrelevant.
 func (o Outcome) Route() string { return o.route }
 
--- a/internal/service/brdispatch/attempt.go
+++ b/internal/service/brdispatch/attempt.go
@@ -95,7 +95,7 @@
 	response, err := d.backend.Send(ctx, server, j.newCall(ctx, sent))
 	latency := d.clock.Now().Sub(sent)
 	result, kind := d.handleResponse(ctx, j, response, err)
-	d.balancer.Release(brrequest.NewOutcome(server.Name(), kind, latency).WithRoute(j.route().Name()))
+	d.balancer.Release(brrequest.NewOutcome(server.Name(), kind, latency).WithRoute(j.route().Name()).WithFate(result.fate))
 	d.reportToPoisonDetection(ctx, j, server, result, kind)
 	return result
 }
