--- a/review/harness-3/deployment.go
+++ b/review/harness-3/deployment.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -19,8 +20,12 @@
 
 // zones are the zones of the deployment, with their regions.
 var zones = []struct{ name, region string }{
-	{"mvd-a", "montevideo"}, {"lit-a", "litoral"}, {"est-a", "este"},
-	{"mvd-b", "montevideo"}, {"lit-b", "litoral"}, {"est-b", "este"},
+	{"mvd-a", "montevideo"},
+	{"lit-a", "litoral"},
+	{"est-a", "este"},
+	{"mvd-b", "montevideo"},
+	{"lit-b", "litoral"},
+	{"est-b", "este"},
 }
 
 // ports of a machine; they are the same on all machines.
@@ -137,17 +142,26 @@
 
 // addServers starts servers of a service, spread over the zones, and writes their entries.
 func (d *deployment) addServers(service string, count, slots int, work func(*http.Request) time.Duration, record func(run)) error {
+	_, err := d.addVersion(service, "v1", count, slots, work, record, nil, nil)
+	return err
+}
+
+// addVersion is addServers for a version whose runs may fail. It returns the servers.
+func (d *deployment) addVersion(service, version string, count, slots int, work func(*http.Request) time.Duration, record func(run), fails func() bool, together *atomic.Int64) ([]*server, error) {
+	added := []*server{}
 	for i := range count {
-		id := fmt.Sprintf("i-%s-%d", service, i)
+		id := fmt.Sprintf("i-%s-%s-%d", service, version, i)
 		ip := fmt.Sprintf("%s.%d", d.prefix, 100+len(d.servers)%100)
-		s, err := newServer(id, service, zones[i%len(zones)].name, ip, slots, work, record)
+		s, err := newServer(id, service, version, zones[i%len(zones)].name, ip, slots, work, record)
 		if err != nil {
-			return err
+			return nil, err
 		}
+		s.fails, s.together = fails, together
 		d.servers = append(d.servers, s)
+		added = append(added, s)
 		d.store.put("servers", id, s.entry())
 	}
-	return nil
+	return added, nil
 }
 
 // waitReady waits until all machines say that they are ready.
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(*deployment, *record, bool) (bool, error){
 	"drill":    drill,
 	"pipeline": pipeline,
+	"rollout":  rollout,
 }
 
 func main() { os.Exit(runCase(os.Args[1:])) }
--- a/review/harness-3/server.go
+++ b/review/harness-3/server.go
@@ -19,15 +19,20 @@
 	arrived                           time.Time
 	ended                             time.Time
 	broken                            bool // the caller's connection ended first
+	failed                            bool // the server answered 500
+	version                           string
 }
 
 // server is a stand-in of a back-end server. It follows PROTOCOL.md.
 type server struct {
 	id, service, zone, address string
+	version                    string
+	fails                      func() bool   // whether a run fails; nil for never
+	together                   *atomic.Int64 // requests that run at the servers of its version; may be nil
+	draining                   atomic.Bool
 	slots                      int
 	work                       func(r *http.Request) time.Duration
 	record                     func(run)
-	started                    func(run) // when a request begins to run; may be nil
 	born                       int64
 	running                    atomic.Int64
 	free                       chan struct{}
@@ -36,13 +41,13 @@
 	stop                       chan struct{}
 }
 
-func newServer(id, service, zone, ip string, slots int, work func(r *http.Request) time.Duration, record func(run)) (*server, error) {
+func newServer(id, service, version, zone, ip string, slots int, work func(r *http.Request) time.Duration, record func(run)) (*server, error) {
 	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
 		return nil, fmt.Errorf("listen for %s: %w", id, err)
 	}
 	s := &server{
-		id: id, service: service, zone: zone, address: listener.Addr().String(), slots: slots, work: work, record: record,
+		id: id, service: service, version: version, zone: zone, address: listener.Addr().String(), slots: slots, work: work, record: record,
 		born: time.Now().UnixMilli(), free: make(chan struct{}, slots), stop: make(chan struct{}),
 	}
 	s.http = &http.Server{Handler: s, IdleTimeout: 10 * time.Second}
@@ -53,10 +58,14 @@
 // entry returns the server's row in the store. Of its heartbeats nothing is seen: the entry
 // changes only when more than its sequence changes.
 func (s *server) entry() string {
+	state := "ready"
+	if s.draining.Load() {
+		state = "draining"
+	}
 	document := map[string]any{
 		"address": s.address, "born": s.born,
-		"info":   map[string]any{"service": s.service, "version": "v1", "zone": s.zone, "max_concurrency": s.slots},
-		"status": map[string]any{"state": "ready", "sequence": 1, "cold_remaining_s": 0},
+		"info":   map[string]any{"service": s.service, "version": s.version, "zone": s.zone, "max_concurrency": s.slots},
+		"status": map[string]any{"state": state, "sequence": 1, "cold_remaining_s": 0},
 	}
 	data, _ := json.Marshal(document)
 	return string(data)
@@ -99,9 +108,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	seen := run{id: id, tenant: r.Header.Get("X-Tenant"), path: r.URL.Path, service: s.service, server: s.id, arrived: time.Now()}
-	if s.started != nil {
-		s.started(seen)
+	seen := run{id: id, tenant: r.Header.Get("X-Tenant"), path: r.URL.Path, service: s.service, version: s.version, server: s.id, arrived: time.Now()}
+	if s.together != nil {
+		s.together.Add(1)
+		defer s.together.Add(-1)
 	}
 	timer := time.NewTimer(s.work(r))
 	defer timer.Stop()
@@ -111,6 +121,7 @@
 		seen.broken = true
 	}
 	seen.ended = time.Now()
+	seen.failed = !seen.broken && s.fails != nil && s.fails()
 	s.record(seen)
 	if seen.broken {
 		w.WriteHeader(http.StatusGatewayTimeout)
@@ -118,5 +129,8 @@
 	}
 	header.Set("X-Server-Stamp", "3e1b.07.5a2.600.0."+s.id)
 	header.Set("X-Server-Load", fmt.Sprintf("%d,0,%d", s.running.Load(), s.slots))
+	if seen.failed {
+		w.WriteHeader(http.StatusInternalServerError)
+	}
 	_, _ = fmt.Fprintf(w, "answer to %s\n", id)
 }
--- a/review/harness-3/store.go
+++ b/review/harness-3/store.go
@@ -107,6 +107,17 @@
 	return s.now.version
 }
 
+// get returns the value of a row, or "".
+func (s *store) get(table, key string) string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	r := s.now.rows[rowID{table, "", key}]
+	if r.Deleted {
+		return ""
+	}
+	return string(r.Value)
+}
+
 // write must be called with the mutex held.
 func (s *store) write(r row) {
 	s.now.version++
