--- a/review/harness-3/server.go
+++ b/review/harness-3/server.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -37,8 +36,6 @@
 	running                    atomic.Int64
 	free                       chan struct{}
 	http                       *http.Server
-	stopped                    sync.Once
-	stop                       chan struct{}
 }
 
 func newServer(id, service, version, zone, ip string, slots int, work func(r *http.Request) time.Duration, record func(run)) (*server, error) {
@@ -48,7 +45,7 @@
 	}
 	s := &server{
 		id: id, service: service, version: version, zone: zone, address: listener.Addr().String(), slots: slots, work: work, record: record,
-		born: time.Now().UnixMilli(), free: make(chan struct{}, slots), stop: make(chan struct{}),
+		born: time.Now().UnixMilli(), free: make(chan struct{}, slots),
 	}
 	s.http = &http.Server{Handler: s, IdleTimeout: 10 * time.Second}
 	go func() { _ = s.http.Serve(listener) }()
@@ -72,10 +69,7 @@
 }
 
 func (s *server) close() {
-	s.stopped.Do(func() {
-		close(s.stop)
-		_ = s.http.Close()
-	})
+	_ = s.http.Close()
 }
 
 // ServeHTTP runs one request.
