Pass on deletions of records that a VM never knew

What callers would see: requests to a server that has left, from a VM that read its entry itself and then follows a VM which read the store only before the server came and after it left (DRAIN).

Cause: the replica drops the deletion of a key that it doesn't know, or knows as deleted, and after a list in place of changes it can't tell what was deleted before. So it can't pass the deletion on.

Change: each deletion is kept as a tombstone with its revision, and after a list VMs that know less get the whole area.

--- a/internal/decide/brreplica/era_test.go
+++ b/internal/decide/brreplica/era_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"bergamotroad.example/bergamotroad/internal/decide/brreplica"
 	"bergamotroad.example/bergamotroad/internal/model/brfleet"
@@ -161,3 +162,86 @@
 	lost = r.Lost(brrecord.AreaVMs)
 	require.Zero(t, lost.Len())
 }
+
+// VMs that follow a VM through drills, or start in between, agree with it once all that was lost
+// had time to be written again, whatever each of them knew before. A server is ready, drains and
+// leaves, and does not come back under its identifier.
+func TestFollowersAgreeAfterDrills(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now, era, version := start, brrecord.Era(1), uint64(1)
+		store, copied := map[string]row{}, map[string]row{}
+		copiedVersion := version
+		source, follower := brreplica.New(textDecoder{}), brreplica.New(textDecoder{})
+		read := func() {
+			rows := []row{}
+			for _, r := range store {
+				rows = append(rows, r)
+			}
+			if source.Revisions()[brrecord.AreaServers].Era() == era {
+				apply(source, now, changes(brrecord.AreaServers, era, version, rows...))
+				return
+			}
+			alive := []row{}
+			for _, r := range rows {
+				if r.text != "" {
+					alive = append(alive, r)
+				}
+			}
+			apply(source, now, list(brrecord.AreaServers, era, version, alive...))
+		}
+		follow := func() { apply(follower, now, source.Since(follower.Revisions())...) }
+		for range 40 {
+			switch rapid.SampledFrom([]string{"write", "write", "write", "copy", "drill", "read", "follow", "restart", "lead"}).Draw(t, "step") {
+			case "write":
+				version++
+				key := rapid.SampledFrom([]string{"i-1", "i-2", "i-3", "i-4", "i-5"}).Draw(t, "key")
+				store[key] = row{version, key, nextText(store, key)}
+			case "copy":
+				copied, copiedVersion = clone(store), version
+			case "drill":
+				store, version = clone(copied), copiedVersion
+				era++
+			case "read":
+				read()
+			case "follow":
+				follow()
+			case "restart":
+				follower = brreplica.New(textDecoder{})
+			case "lead":
+				source, follower = follower, source
+			}
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "pause")) * time.Millisecond)
+		}
+		read()
+		follow()
+		now = now.Add(rewriteGrace)
+		want := []brfleet.Server{}
+		for _, r := range store {
+			if r.text != "" {
+				want = append(want, brfleet.NewServer(r.key, "lookup", "h:1").WithDraining(r.text == "draining"))
+			}
+		}
+		require.ElementsMatch(t, want, source.View(now).ServersOf("lookup"))
+		require.ElementsMatch(t, want, follower.View(now).ServersOf("lookup"))
+	})
+}
+
+// nextText returns what a server writes after its row in the store.
+func nextText(store map[string]row, key string) string {
+	switch r, exists := store[key]; {
+	case !exists:
+		return "ready"
+	case r.text == "ready":
+		return "draining"
+	default:
+		return ""
+	}
+}
+
+func clone(rows map[string]row) map[string]row {
+	copied := map[string]row{}
+	for key, r := range rows {
+		copied[key] = r
+	}
+	return copied
+}
--- a/internal/decide/brreplica/replica.go
+++ b/internal/decide/brreplica/replica.go
@@ -189,7 +189,8 @@
 	return change
 }
 
-// deleteUnlisted deletes the entries that a full batch does not list.
+// deleteUnlisted deletes the entries that a full batch does not list. Others may know records
+// that were written and deleted before the batch and never known here.
 func (r *Replica) deleteUnlisted(now time.Time, a *area, listed brset.Set[string], batch brrecord.Batch, change *Change) {
 	for key, record := range a.entries {
 		held, isHeld := a.held[key]
@@ -204,9 +205,7 @@
 		}
 		r.put(now, a, deleted, change)
 	}
-	if !a.known || change.newEra {
-		a.tombstoneHorizon = batch.Revision()
-	}
+	a.tombstoneHorizon = batch.Revision()
 }
 
 // put stores one record. A registration of a server without new content keeps its
@@ -223,9 +222,8 @@
 	}
 	switch {
 	case record.Deleted() && (!ok || old.Deleted()):
-		if isHeld {
-			a.entries[record.Key()] = record // others know what the store had in between
-		}
+		// Other VMs may know a record that was written and deleted in between.
+		a.entries[record.Key()] = record
 		return
 	case ok && a.isRewritten(now, old, record):
 		a.entries[record.Key()] = record
--- a/internal/decide/brreplica/replica_test.go
+++ b/internal/decide/brreplica/replica_test.go
@@ -179,3 +179,23 @@
 	r.Apply(start, order(8), start)
 	require.Equal(t, brfleet.RolloutOrdered, state())
 }
+
+// Guards against a VM that keeps a server which has left: it read the server's entry itself, and
+// then follows a VM that read the store only before the server came and after it left (DRAIN).
+func TestFollowerLearnsOfServersThatItsSourceNeverKnew(t *testing.T) {
+	for name, last := range map[string]brrecord.Batch{
+		"changes": serverBatch(3, false, map[string]string{"i-1": ""}),
+		"list":    serverBatch(3, true, nil),
+	} {
+		t.Run(name, func(t *testing.T) {
+			source, follower := brreplica.New(textDecoder{}), brreplica.New(textDecoder{})
+			source.Apply(start, serverBatch(1, true, nil), start)
+			follower.Apply(start, serverBatch(2, true, map[string]string{"i-1": "ready"}), start)
+			source.Apply(start, last, start)
+			for _, b := range source.Since(follower.Revisions()) {
+				follower.Apply(start, b, start)
+			}
+			require.Empty(t, serverIDs(follower.View(start)))
+		})
+	}
+}
