Let no version succeed without answers to a larger share of requests

Cause, by the VMs' log of decisions: without a known age, 0.4 of the duration was assumed to have passed; at the assumed deadline any number of answers sufficed, and the version succeeded with 11 good ones, all to the small share of its trial. Ruled out: the bad answer that was lost, the stored result.

Change: a rollout of unknown age counts as just begun; a version needs 12 good answers in at least 0.15 of the duration with the larger share, also after its deadline, and begins this again when it falls back; it is rolled back at twice its duration. A service without any request is as before.

Evidence: TestRolloutOfUnknownAgeIsNotEndedEarly, TestVersionWithoutEvidenceDoesNotSucceedAtDeadline and TestVersionBadUnderLoadIsRolledBackAfterLosses fail on the code before. TestRunningRolloutEndsInTimeOnStartingVM asked for the assumed age, which is the fault; it now asks that a starting VM ends the rollout in time by the age that others report.

--- a/internal/decide/brrollout/evaluator.go
+++ b/internal/decide/brrollout/evaluator.go
@@ -5,7 +5,8 @@
 // versions fail only after some time, under load or on one route. It is rolled
 // back as soon as its share of bad answers, or of requests without an answer, is
 // clearly above that of the other versions. It succeeds only if it has answered
-// enough requests about as well as the others.
+// enough requests about as well as the others, with the small share and then with a
+// larger one, however long that takes; only a service without any requests needs none.
 //
 // # Usage
 //
@@ -35,16 +36,18 @@
 	// the trial may end and the rollout may succeed.
 	trialEnd  = 0.5
 	successAt = 0.8
-	// assumedProgress is the fraction of a rollout's duration that is assumed to
-	// have passed when a VM first sees the rollout already running and no VM has
-	// reported its age.
-	assumedProgress = 0.4
 	// minGoodAnswers is the number of good answers that a version needs to pass its
-	// trial, and as many again after it to succeed. deadlineAt is the fraction of the
-	// duration after which any number suffices, and a version that is not good is rolled
-	// back.
+	// trial, and as many again after it to succeed.
 	minGoodAnswers = 12
-	deadlineAt     = 0.85
+	// deadlineAt is the fraction of the duration after which a version that is not good is
+	// rolled back, and one succeeds of whose service nobody requests anything. A version
+	// that lacks evidence goes on until giveUpAt, and is rolled back then.
+	deadlineAt = 0.85
+	giveUpAt   = 2
+	// warmupPart is the fraction of the duration for which a version at least has the larger
+	// share before it succeeds, and in which missing evidence is to be collected once the
+	// usual time for it has passed.
+	warmupPart = 0.15
 	// A version is bad if it gave at least minBadAnswers bad answers, and their share
 	// is above badOffset plus badFactor times that of the other versions.
 	minBadAnswers = 4
@@ -87,8 +90,7 @@
 
 // trial is the history of a rollout on this VM.
 type trial struct {
-	startedAt time.Time
-	estimated bool // startedAt is an estimate
+	startedAt time.Time // the latest time at which the rollout may have started
 	history   []snapshot
 	warmup    broption.Option[snapshot] // when the trial ended
 }
@@ -102,10 +104,10 @@
 // NewEvaluator returns an evaluator that has seen no rollouts.
 func NewEvaluator() *Evaluator { return &Evaluator{trials: map[brrecord.Revision]*trial{}} }
 
-// Age returns for how long a rollout has been running, or 0 if that is unknown.
+// Age returns for how long a rollout has been running at least, or 0 if it is unknown.
 func (e *Evaluator) Age(now time.Time, revision brrecord.Revision) time.Duration {
 	t, ok := e.trials[revision]
-	if !ok || t.estimated {
+	if !ok {
 		return 0
 	}
 	return now.Sub(t.startedAt)
@@ -177,18 +179,22 @@
 	}
 	progress := newProgress(now.Sub(t.startedAt), rollout.Duration())
 	isGood := good(tally) && good(recent)
+	isQuiet := tally.Target()+tally.Old() == 0
 	switch {
-	case progress.reached(deadlineAt) && !isGood:
+	case progress.reached(deadlineAt) && !isGood, progress.reached(giveUpAt):
 		return Decision{state: brfleet.RolloutRolledBack, bad: true}
-	case progress.reached(deadlineAt):
+	case progress.reached(deadlineAt) && isQuiet:
 		return Decision{state: brfleet.RolloutSucceeded, share: warmupFactor * limits.share}
 	case !isGood || !progress.reached(trialEnd) || tally.TargetGood() < minGoodAnswers:
+		t.warmup = broption.None[snapshot]()
 		missing := limits.wanted() - float64(tally.Target())
 		share := max(trialFactor*limits.share, progress.shareFor(t.rate(now, recent), missing, trialEnd))
 		return Decision{state: brfleet.RolloutRunning, share: share}
 	}
-	warmup := t.sinceWarmup(now, tally)
-	if progress.reached(successAt) && warmup.TargetGood() >= minGoodAnswers {
+	begun := t.beginWarmup(now, tally)
+	warmup := tally.Sub(begun.tally)
+	isWarm := now.Sub(begun.at) >= progress.at(warmupPart) && warmup.TargetGood() >= minGoodAnswers
+	if progress.reached(successAt) && isWarm {
 		return Decision{state: brfleet.RolloutSucceeded, share: warmupFactor * limits.share}
 	}
 	missing := limits.wanted() - float64(warmup.Target())
@@ -215,31 +221,33 @@
 }
 
 // shareFor returns the share of requests by which the target version gets the missing ones
-// until a fraction of the duration, if the service gets requests at the given rate per second.
+// until a fraction of the duration, or soon if that has passed, if the service gets requests at
+// the given rate per second.
 func (p progress) shareFor(rate, missing, fraction float64) float64 {
-	arriving := rate * (p.at(fraction) - p.elapsed).Seconds()
+	left := p.at(fraction) - p.elapsed
+	if left <= 0 {
+		left = p.at(warmupPart)
+	}
+	arriving := rate * left.Seconds()
 	if missing <= 0 || arriving <= 0 {
 		return 0
 	}
 	return min(math.Ceil(missing/arriving/shareStep)*shareStep, maxShare)
 }
 
-// trial returns the history of a rollout. If the rollout was already running when
-// this VM first saw it, its start is estimated until another VM reports its age. The VM that
-// has known the rollout for longest is right about its age.
+// trial returns the history of a rollout. If it was already running when this VM first saw it,
+// it may have started at any time before: until another VM reports a longer age, it counts as
+// started now. If all VMs were lost at once, the version thus needs its full time again, and its
+// rollout ends late rather than on the strength of too few answers. The VM that has known the
+// rollout for longest is right about its age.
 func (e *Evaluator) trial(now time.Time, rollout brfleet.Rollout, tally brstatus.Tally) *trial {
 	t, ok := e.trials[rollout.Revision()]
 	if !ok {
 		t = &trial{startedAt: now}
-		if rollout.State() == brfleet.RolloutRunning {
-			t.startedAt = now.Add(-time.Duration(assumedProgress * float64(rollout.Duration())))
-			t.estimated = true
-		}
 		e.trials[rollout.Revision()] = t
 	}
-	if tally.Age() > 0 && (t.estimated || tally.Age() > now.Sub(t.startedAt)) {
+	if tally.Age() > now.Sub(t.startedAt) {
 		t.startedAt = now.Add(-tally.Age())
-		t.estimated = false
 	}
 	return t
 }
@@ -253,15 +261,16 @@
 	return tally.Sub(t.history[0].tally)
 }
 
-// sinceWarmup returns the answers since the end of the trial, which is now if it has not
-// ended before.
-func (t *trial) sinceWarmup(now time.Time, tally brstatus.Tally) brstatus.Tally {
-	start, ended := t.warmup.Get()
+// beginWarmup returns the tally at the end of the trial, which is now if it has not ended before.
+// A version that falls back into its trial has to pass it, and the time after it, again: answers
+// to a few requests tell nothing of how it does with more.
+func (t *trial) beginWarmup(now time.Time, tally brstatus.Tally) snapshot {
+	begun, ended := t.warmup.Get()
 	if !ended {
-		start = snapshot{at: now, tally: tally}
-		t.warmup = broption.Some(start)
+		begun = snapshot{at: now, tally: tally}
+		t.warmup = broption.Some(begun)
 	}
-	return tally.Sub(start.tally)
+	return begun
 }
 
 // rate returns the requests of the service per second in the recent window, or 0 while that is
--- a/internal/decide/brrollout/evaluator_test.go
+++ b/internal/decide/brrollout/evaluator_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -36,6 +37,7 @@
 	overdueShare float64
 	badFrom      time.Duration // since the start of the rollout
 	overdueUntil time.Duration // if it is set, later requests are answered
+	loadShare    float64       // it fails only with at least this share of the requests
 }
 
 // draw returns the tally of one request.
@@ -56,18 +58,27 @@
 	state      brfleet.RolloutState
 	endedAfter time.Duration
 	target     int // requests to the target version
-	all        int
+	all        int // requests within the duration
 }
 
 // simulate runs a rollout. Requests without an answer count late, when they time out.
 func simulate(seed uint64, duration time.Duration, target, old version) outcome {
+	return simulateLosses(seed, duration, duration, target, old)
+}
+
+// simulateLosses runs a rollout for a time. At each loss, all VMs lose what they know of it.
+func simulateLosses(seed uint64, duration, length time.Duration, target, old version, losses ...time.Duration) outcome {
 	random := rand.New(rand.NewPCG(seed, 1))
 	evaluator := brrollout.NewEvaluator()
 	rollout := brfleet.NewRollout("lookup", "v2", duration, 3)
-	tally, late := brstatus.Tally{}, make([]brstatus.Tally, int((duration+timeout)/step)+1)
+	tally, late := brstatus.Tally{}, make([]brstatus.Tally, int((length+timeout)/step)+1)
 	o := outcome{}
-	for ; o.endedAfter < duration; o.endedAfter += step {
+	for ; o.endedAfter < length; o.endedAfter += step {
 		now := int(o.endedAfter / step)
+		if slices.Contains(losses, o.endedAfter) {
+			evaluator, tally = brrollout.NewEvaluator(), brstatus.Tally{}
+			clear(late)
+		}
 		tally = tally.Add(late[now])
 		decision := evaluator.Evaluate(start.Add(o.endedAfter), rollout, majority(tally), limits)
 		rollout = rollout.WithState(decision.State())
@@ -75,12 +86,17 @@
 			break
 		}
 		for range requestsPerStep {
-			o.all++
+			if o.endedAfter < duration {
+				o.all++
+			}
 			isTarget, drawn := random.Float64() < decision.Share(), old
 			if isTarget {
 				o.target++
 				drawn = target
 			}
+			if decision.Share() < drawn.loadShare {
+				drawn = version{}
+			}
 			counted, overdue := drawn.draw(random, o.endedAfter, isTarget)
 			if overdue {
 				late[now+int(timeout/step)] = late[now+int(timeout/step)].Add(counted)
@@ -219,15 +235,91 @@
 	require.Equal(t, brfleet.RolloutRolledBack, decision.State())
 }
 
-// A VM that starts during a rollout does not count the rollout's duration from its own
-// start.
+// A VM that starts during a rollout does not count the rollout's duration from its own start,
+// but from that of the others.
 func TestRunningRolloutEndsInTimeOnStartingVM(t *testing.T) {
 	evaluator := brrollout.NewEvaluator()
 	rollout := brfleet.NewRollout("lookup", "v2", 15*time.Second, 3).WithState(brfleet.RolloutRunning)
-	tally := brstatus.NewTally(100, 0, 900, 3)
-	evaluator.Evaluate(start, rollout, majority(tally), limits)
-	decision := evaluator.Evaluate(start.Add(7*time.Second), rollout, majority(tally), limits)
-	require.Equal(t, brfleet.RolloutSucceeded, decision.State())
+	tally := func(elapsed time.Duration, good uint64) brrollout.Evidence {
+		return majority(brstatus.NewTally(good, 0, 900, 3).WithAge(elapsed))
+	}
+	evaluator.Evaluate(start, rollout, tally(8*time.Second, 100), limits)
+	require.Equal(t, brfleet.RolloutRunning, evaluator.Evaluate(start.Add(2*time.Second), rollout, tally(10*time.Second, 120), limits).State())
+	require.Equal(t, brfleet.RolloutSucceeded, evaluator.Evaluate(start.Add(4*time.Second), rollout, tally(12*time.Second, 140), limits).State())
+}
+
+// Guards against a version that succeeds after all VMs were lost, at an age that is assumed and
+// on the answers to a few requests with the small share (EXPOSURE, review case 12).
+func TestRolloutOfUnknownAgeIsNotEndedEarly(t *testing.T) {
+	evaluator := brrollout.NewEvaluator()
+	rollout := brfleet.NewRollout("lookup", "v2", 16*time.Second, 3).WithState(brfleet.RolloutRunning)
+	for elapsed := time.Duration(0); elapsed < 128*time.Second/10; elapsed += step {
+		tally := brstatus.NewTally(uint64(3*elapsed.Seconds()), 0, uint64(30*elapsed.Seconds()), 0)
+		decision := evaluator.Evaluate(start.Add(elapsed), rollout, majority(tally), limits)
+		require.Equal(t, brfleet.RolloutRunning, decision.State(), "after %v", elapsed)
+		require.Equal(t, elapsed, evaluator.Age(start.Add(elapsed), 3))
+	}
+}
+
+// Guards against a version that succeeds at its deadline although it never had the larger share
+// of requests, as its evidence was lost or its service is quiet (EXPOSURE, review case 12). It
+// goes on, and succeeds with the evidence, or is rolled back in the end.
+func TestVersionWithoutEvidenceDoesNotSucceedAtDeadline(t *testing.T) {
+	evaluator := brrollout.NewEvaluator()
+	rollout := brfleet.NewRollout("lookup", "v2", 16*time.Second, 3).WithState(brfleet.RolloutRunning)
+	at := func(elapsed time.Duration, good uint64) brrollout.Decision {
+		tally := brstatus.NewTally(good, 0, 300, 0).WithAge(elapsed)
+		return evaluator.Evaluate(start.Add(elapsed), rollout, majority(tally), limits)
+	}
+	at(14*time.Second, 0)
+	require.Equal(t, brfleet.RolloutRunning, at(15*time.Second, 11).State())
+	require.Equal(t, brfleet.RolloutRunning, at(16*time.Second, 14).State())
+	require.Greater(t, at(17*time.Second, 20).Share(), allowed, "a larger share after the trial")
+	require.Equal(t, brfleet.RolloutRunning, at(18*time.Second, 26).State(), "for a short time only")
+	require.Equal(t, brfleet.RolloutSucceeded, at(19*time.Second, 26).State())
+	require.Equal(t, brfleet.RolloutRolledBack, at(32*time.Second, 26).State())
+}
+
+// drawLosses draws when all VMs lose what they know of a rollout, once or twice.
+func drawLosses(t *rapid.T, duration time.Duration) []time.Duration {
+	losses := rapid.SliceOfN(rapid.IntRange(1, int(duration/step)-1), 1, 2).Draw(t, "losses")
+	times := []time.Duration{}
+	for _, l := range losses {
+		times = append(times, time.Duration(l)*step)
+	}
+	return times
+}
+
+// Guards against a version that is bad under load and succeeds after all VMs were lost, early,
+// late, once or twice (EXPOSURE, review case 12).
+func TestVersionBadUnderLoadIsRolledBackAfterLosses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		duration := time.Duration(rapid.IntRange(12, 30).Draw(t, "seconds")) * time.Second
+		target := version{badShare: rapid.Float64Range(0.4, 1).Draw(t, "bad share"), loadShare: 0.15}
+		o := simulateLosses(rapid.Uint64().Draw(t, "seed"), duration, 3*duration, target, version{badShare: 0.004}, drawLosses(t, duration)...)
+		require.Equal(t, brfleet.RolloutRolledBack, o.state)
+		require.LessOrEqual(t, float64(o.target), allowed*float64(o.all)+slack)
+	})
+}
+
+// A good version succeeds after all VMs were lost, although late.
+func TestGoodVersionSucceedsAfterLosses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		duration := time.Duration(rapid.IntRange(12, 30).Draw(t, "seconds")) * time.Second
+		losses := drawLosses(t, duration)
+		o := simulateLosses(rapid.Uint64().Draw(t, "seed"), duration, 3*duration, version{}, version{}, losses...)
+		require.Equal(t, brfleet.RolloutSucceeded, o.state)
+		require.LessOrEqual(t, o.endedAfter, slices.Max(losses)+duration*9/10)
+	})
+}
+
+// The version of a service that nobody requests succeeds at its deadline.
+func TestVersionOfUnusedServiceSucceeds(t *testing.T) {
+	evaluator := brrollout.NewEvaluator()
+	rollout := brfleet.NewRollout("lookup", "v2", 16*time.Second, 3).WithState(brfleet.RolloutRunning)
+	evaluator.Evaluate(start, rollout, majority(brstatus.Tally{}), limits)
+	require.Equal(t, brfleet.RolloutRunning, evaluator.Evaluate(start.Add(13*time.Second), rollout, majority(brstatus.Tally{}), limits).State())
+	require.Equal(t, brfleet.RolloutSucceeded, evaluator.Evaluate(start.Add(14*time.Second), rollout, majority(brstatus.Tally{}), limits).State())
 }
 
 // No requests go to a version before its rollout is running.
