Notice that a client leaves behind requests that it has sent ahead

Cause: net/http's server reads one byte ahead while a handler runs. If it is the next request's, it reads no more until the handler is done, and doesn't see the end of the connection. Ruled out: forwarding and the end of attempts, which follow the request's context.

Change: a connection that nobody has read from for 0.1 s while a request is handled reads ahead by itself, 16 KiB at most and 4 MiB for a front; when it ends, the contexts of its requests end, and what was read ahead is dropped. Otherwise the server reads it in order.

Evidence: without the change TestLeavingIsSeenBehindSentRequests doesn't end (a request behind another, closed), by mutation.

--- a/internal/service/brfront/front.go
+++ b/internal/service/brfront/front.go
@@ -2,7 +2,8 @@
 // peers or operators.
 //
 // It adds to the handler TLS, limits on connections, requests and bodies, timeouts
-// for slow clients, recovery from panics and a graceful shutdown.
+// for slow clients, recovery from panics and a graceful shutdown. The context of a request
+// ends when its client leaves, also if the client has sent more requests behind it.
 //
 // # Usage
 //
@@ -63,6 +64,7 @@
 		ReadHeaderTimeout: limits.HeaderTimeout(),
 		IdleTimeout:       limits.IdleTimeout(),
 		MaxHeaderBytes:    limits.HeaderBytes(),
+		ConnContext:       withConnection,
 		// Errors that clients cause must not fill the log.
 		ErrorLog: log.New(io.Discard, "", 0),
 	}
--- a/internal/service/brfront/guard.go
+++ b/internal/service/brfront/guard.go
@@ -35,6 +35,7 @@
 }
 
 func (g *Guard) serve(w http.ResponseWriter, r *http.Request, handler http.Handler) {
+	defer watchClient(r)()
 	response := newResponseWriter(w, g.clock, false)
 	if r.Body != nil && r.Body != http.NoBody {
 		body := newMinRateBody(r.Body, w, g.clock, g.limits)
--- a/internal/service/brfront/handler.go
+++ b/internal/service/brfront/handler.go
@@ -52,6 +52,7 @@
 
 // ServeHTTP refuses requests beyond the front's limits and passes on the others.
 func (h *limitHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer watchClient(r)()
 	response := newResponseWriter(w, h.dependencies.clock, h.front.keepAlivesDisabled.Load())
 	defer h.front.running.Add(-1)
 	if h.front.running.Add(1) > int64(h.limits.Requests()) {
--- a/internal/service/brfront/listener.go
+++ b/internal/service/brfront/listener.go
@@ -16,6 +16,7 @@
 	mutex   sync.Mutex
 	limiter *brconnection.Limiter
 	refused int
+	ahead   aheadBudget
 }
 
 func newListener(inner net.Listener, limit, limitPerAddress int) *listener {
@@ -31,7 +32,7 @@
 		}
 		client := addressOf(accepted)
 		if l.acquire(client) {
-			return &connection{Conn: accepted, release: sync.OnceFunc(func() { l.release(client) })}, nil
+			return newConnection(accepted, &l.ahead, func() { l.release(client) }), nil
 		}
 		_ = accepted.Close()
 	}
@@ -67,14 +68,3 @@
 	}
 	return address.Addr()
 }
-
-type connection struct {
-	net.Conn
-	release func()
-}
-
-// Close closes the connection and releases it from the limits.
-func (c *connection) Close() error {
-	defer c.release()
-	return c.Conn.Close()
-}
