--- a/tests/soak/checker_test.go
+++ b/tests/soak/checker_test.go
@@ -62,6 +62,7 @@
 	crashes      map[string][]time.Time // of servers, by the call that crashed them
 	notices      notices
 	uploads      uploadCounts
+	left         leftCounts
 }
 
 func newChecker(d *disturbances, h *configHistory) *checker {
--- a/tests/soak/deployment_test.go
+++ b/tests/soak/deployment_test.go
@@ -190,6 +190,7 @@
 	s.OnRequest(d.checker.checkArrival)
 	s.OnRefusal(d.checker.recordRefusal)
 	s.OnBody(d.checker.checkBody)
+	s.OnEnd(d.checker.recordEnd)
 	s.SetMalformedResponses(malformedResponses())
 	s.CrashOn(func(a brstandin.ReceivedRequest) bool {
 		poison := isPoison(a.Text())
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -123,15 +123,9 @@
 func runSeed(t *testing.T, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 0))
 	d := newDeployment(t, *vmCount)
-	stop := make(chan struct{})
-	defer close(stop)
-	go d.disturbances.watchForStalls(stop)
-	d.disturbances.add(everything, d.started, time.Now().Add(2*time.Second))
-	d.startAll(random)
 	ctx, cancel := context.WithCancel(context.Background())
-	callers := d.startCallers(ctx, seed)
+	callers := d.begin(t, ctx, random, seed)
 	d.startUploaders(ctx, seed, callers)
-	d.awaitService(t, callers)
 	kinds := faultKindsOf(seed)
 	steps := drawSteps(random, kinds, *faultDuration, int(faultDuration.Seconds()**faultRate))
 	rawRandom := rand.New(rand.NewPCG(seed, rawFaultsStream))
@@ -153,6 +147,19 @@
 	d.report(t, seed, append(kinds, rawKinds...))
 }
 
+// begin starts the VMs and the callers, and waits until requests are served.
+func (d *deployment) begin(t *testing.T, ctx context.Context, random *rand.Rand, seed uint64) *callerGroup {
+	t.Helper()
+	stop := make(chan struct{})
+	t.Cleanup(func() { close(stop) })
+	go d.disturbances.watchForStalls(stop)
+	d.disturbances.add(everything, d.started, time.Now().Add(2*time.Second))
+	d.startAll(random)
+	callers := d.startCallers(ctx, seed)
+	d.awaitService(t, callers)
+	return callers
+}
+
 // faultKindsOf returns the kinds of faults of a seed.
 func faultKindsOf(seed uint64) []fault {
 	return drawKinds(rand.New(rand.NewPCG(seed, faultKindsStream)), faults, faultKindsPerRun, seed%2 == 0)
--- a/tests/soak/trial_test.go
+++ b/tests/soak/trial_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -16,11 +17,15 @@
 var (
 	firstTrial = flag.Uint64("soak.firsttrial", 2, "first seed of the runs with a version on trial")
 	trialCount = flag.Int("soak.trials", 2, "number of runs with a version on trial")
+	firstLoss  = flag.Uint64("soak.firstloss", 4, "first seed of the runs with a version on trial and a loss of all VMs")
+	lossCount  = flag.Int("soak.losses", 1, "number of these runs")
 )
 
 const (
 	// trialStream is the PCG stream of the runs with a version on trial.
-	trialStream     = 1 << 44
+	trialStream = 1 << 44
+	// lossStream is that of the runs with a loss of all VMs beside it.
+	lossStream      = 1 << 45
 	trialVersion    = "v2"
 	trialTime       = 16 * time.Second
 	exposureShare   = 0.1
@@ -37,8 +42,21 @@
 	isBad bool
 	// spoil makes one of two servers of the version bad.
 	spoil func(s *brstandin.Server)
+	// underLoad makes all servers of the version fail with more requests at a time than a
+	// small share of all brings.
+	underLoad bool
 }
 
+// underLoadKind is a version that is bad only under load.
+var underLoadKind = trialKind{name: "fails under load", isBad: true, spoil: func(*brstandin.Server) {}, underLoad: true}
+
+const (
+	// loadedServiceTime is the service time of a version that fails under load, and
+	// loadedRequests the number of requests at a time from which it does.
+	loadedServiceTime = 300 * time.Millisecond
+	loadedRequests    = 4
+)
+
 var trialKinds = []trialKind{
 	{name: "answers after the timeout", isBad: true, spoil: func(s *brstandin.Server) { s.SetServiceTime(time.Minute) }},
 	{name: "fails", isBad: true, spoil: func(s *brstandin.Server) { s.SetFault(brstandin.FaultInternalError) }},
@@ -58,21 +76,54 @@
 func runTrial(t *testing.T, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, trialStream))
 	kind := trialKinds[seed%uint64(len(trialKinds))]
+	poison := random.IntN(1 << 10)
+	runTrialOf(t, seed, kind, random, func(d *deployment) { repeatPoison(d, poison, time.Now()) }, func(d *deployment) {
+		d.restartInTurn(random)
+		repeatPoison(d, poison, time.Now())
+	})
+}
+
+// Guards against a version on trial that succeeds without evidence after all VMs were lost at
+// once (EXPOSURE, review case 12).
+func TestTrialSurvivesLossOfAllVMs(t *testing.T) {
+	for i := range *lossCount {
+		seed := *firstLoss + uint64(i)
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, lossStream))
+			kinds := append([]trialKind{underLoadKind}, trialKinds...)
+			kind := kinds[seed%uint64(len(kinds))]
+			runTrialOf(t, seed, kind, random, func(*deployment) {}, func(d *deployment) { d.loseAll(random) })
+		})
+	}
+}
+
+// loseAll kills all VMs at once, once or twice, and starts them again one after the other.
+func (d *deployment) loseAll(random *rand.Rand) {
+	for range 1 + random.IntN(2) {
+		time.Sleep(time.Duration(random.Int64N(int64(trialTime / 2))))
+		d.logStep("all VMs are killed")
+		d.disturbances.add(everything, time.Now(), time.Now().Add(2*time.Second))
+		for _, v := range d.allVMs() {
+			v.terminate(syscall.SIGKILL)
+		}
+		for _, v := range d.allVMs() {
+			time.Sleep(time.Duration(random.Int64N(int64(300 * time.Millisecond))))
+			v.start()
+		}
+	}
+}
+
+// runTrialOf runs a version on trial while something disturbs the VMs, and checks what became
+// of it. prepare runs before the version is ordered.
+func runTrialOf(t *testing.T, seed uint64, kind trialKind, random *rand.Rand, prepare, disturb func(d *deployment)) {
+	t.Helper()
 	d := newDeployment(t, *vmCount)
 	d.setTargetLatency()
-	stop := make(chan struct{})
-	defer close(stop)
-	go d.disturbances.watchForStalls(stop)
-	d.disturbances.add(everything, d.started, time.Now().Add(2*time.Second))
-	d.startAll(random)
 	ctx, cancel := context.WithCancel(context.Background())
-	callers := d.startCallers(ctx, seed)
-	d.awaitService(t, callers)
-	poison := random.IntN(1 << 10)
-	repeatPoison(d, poison, time.Now())
+	callers := d.begin(t, ctx, random, seed)
+	prepare(d)
 	ordered := d.orderTrial(kind)
-	d.restartInTurn(random)
-	repeatPoison(d, poison, time.Now())
+	disturb(d)
 	time.Sleep(time.Until(ordered.Add(trialTime)))
 	succeeded, ended := brstandin.RolloutResult(d.store, serviceLook, trialVersion)
 	cancel()
@@ -100,9 +151,16 @@
 // orderTrial starts servers of the new version and orders its rollout. It returns the time of
 // the order.
 func (d *deployment) orderTrial(kind trialKind) time.Time {
+	overload := brstandin.NewOverload(loadedRequests)
 	for _, domain := range domains {
-		d.addServer(serviceLook, trialVersion, domain)
-		kind.spoil(d.addServer(serviceLook, trialVersion, domain))
+		servers := []*brstandin.Server{d.addServer(serviceLook, trialVersion, domain), d.addServer(serviceLook, trialVersion, domain)}
+		kind.spoil(servers[1])
+		for _, s := range servers {
+			if kind.underLoad {
+				s.FailUnder(overload)
+				s.SetServiceTime(loadedServiceTime)
+			}
+		}
 	}
 	d.logStep("rollout of a version that %s", kind.name)
 	ordered := time.Now()
