--- a/tests/soak/drill_test.go
+++ b/tests/soak/drill_test.go
@@ -59,7 +59,7 @@
 	d := newDeployment(t, *vmCount)
 	d.store.SetEra(1)
 	ctx, cancel := context.WithCancel(context.Background())
-	callers := d.begin(t, ctx, random, seed)
+	callers := d.begin(ctx, t, random, seed)
 	for i := range len(domains) {
 		c := newLeaver(d, seed, i)
 		callers.wait.Go(func() { c.run(ctx) })
--- a/tests/soak/soak_test.go
+++ b/tests/soak/soak_test.go
@@ -124,7 +124,7 @@
 	random := rand.New(rand.NewPCG(seed, 0))
 	d := newDeployment(t, *vmCount)
 	ctx, cancel := context.WithCancel(context.Background())
-	callers := d.begin(t, ctx, random, seed)
+	callers := d.begin(ctx, t, random, seed)
 	d.startUploaders(ctx, seed, callers)
 	kinds := faultKindsOf(seed)
 	steps := drawSteps(random, kinds, *faultDuration, int(faultDuration.Seconds()**faultRate))
@@ -148,7 +148,7 @@
 }
 
 // begin starts the VMs and the callers, and waits until requests are served.
-func (d *deployment) begin(t *testing.T, ctx context.Context, random *rand.Rand, seed uint64) *callerGroup {
+func (d *deployment) begin(ctx context.Context, t *testing.T, random *rand.Rand, seed uint64) *callerGroup {
 	t.Helper()
 	stop := make(chan struct{})
 	t.Cleanup(func() { close(stop) })
--- a/tests/soak/trial_test.go
+++ b/tests/soak/trial_test.go
@@ -120,7 +120,7 @@
 	d := newDeployment(t, *vmCount)
 	d.setTargetLatency()
 	ctx, cancel := context.WithCancel(context.Background())
-	callers := d.begin(t, ctx, random, seed)
+	callers := d.begin(ctx, t, random, seed)
 	prepare(d)
 	ordered := d.orderTrial(kind)
 	disturb(d)
