Publish the era of an area whose first list is empty

What operators would see: the result of a rollout is not written by a VM that started while the store had no results, until any other record changes. Its condition told no era, and the store's client sends none of an older era.

Cause: a first list without records changed nothing, so the state was not published with the era of the results. Found by reading the change; only with a store that tells its era.

Change: the first batch of an area counts as a change. The tests of whole VMs and the soak use a store that tells its era.

Evidence: TestEraIsKnownOfAnEmptyArea fails without the change.

--- a/internal/decide/brreplica/era_test.go
+++ b/internal/decide/brreplica/era_test.go
@@ -149,6 +149,16 @@
 	}
 }
 
+// The first list of results may have none. Guards against a result that is never written since its
+// condition tells no era.
+func TestEraIsKnownOfAnEmptyArea(t *testing.T) {
+	r := brreplica.New(textDecoder{})
+	require.False(t, r.Apply(start, list(brrecord.AreaOrders, 2, 11, row{11, "rollout/lookup", "v2"}), start).IsEmpty())
+	require.False(t, r.Apply(start, list(brrecord.AreaResults, 2, 11), start).IsEmpty())
+	require.Equal(t, brrecord.NewRevision(2, 0), r.StoredResult("lookup").Revision())
+	require.True(t, r.Apply(start, changes(brrecord.AreaResults, 2, 12), start).IsEmpty())
+}
+
 // A VM whose registration is lost stays known and learns that it has to register again.
 func TestNewEraKeepsVMs(t *testing.T) {
 	r := brreplica.New(textDecoder{})
--- a/internal/decide/brreplica/replica.go
+++ b/internal/decide/brreplica/replica.go
@@ -113,6 +113,7 @@
 	records  []brrecord.Record
 	failures []DecodeFailure
 	gap      Gap
+	first    bool // nothing was known of the area before
 	newEra   bool
 	held     int  // records that the store has lost
 	settled  bool // content that the store had lost is known to be there again, or to be gone
@@ -126,7 +127,7 @@
 func (c Change) Held() int { return c.held }
 
 // IsEmpty reports whether the batch changed nothing that others have to learn.
-func (c Change) IsEmpty() bool { return len(c.records) == 0 && !c.newEra && !c.settled }
+func (c Change) IsEmpty() bool { return len(c.records) == 0 && !c.first && !c.newEra && !c.settled }
 
 // Gap returns the gap before the batch.
 func (c Change) Gap() Gap { return c.gap }
@@ -158,6 +159,7 @@
 	if a.known && batch.Revision() < a.revision {
 		return change
 	}
+	change.first = !a.known
 	change.newEra = a.known && batch.Revision().Era() > a.revision.Era()
 	if change.newEra && !batch.Full() {
 		return Change{}
--- a/internal/duty/brcanary/duty.go
+++ b/internal/duty/brcanary/duty.go
@@ -129,9 +129,9 @@
 	return 2*len(summary.Fleet().Members()) >= len(state.View().VMs())
 }
 
-// record writes a result that differs from the stored one, or that the store has lost. Each VM waits longer than
-// those ranked before it; it doesn't rely on them, since they may be cut off from the
-// store.
+// record writes a result that differs from the stored one, or that the store has lost. Each
+// VM waits longer than those ranked before it; it doesn't rely on them, since they may be
+// cut off from the store.
 func (h *handler) record(now time.Time, state *brreplicator.State, summary *braggregator.Summary, result brfleet.Rollout, stored brfleet.RolloutState) {
 	key := result.Revision()
 	record := state.Result(result.Service())
--- a/tests/soak/deployment_test.go
+++ b/tests/soak/deployment_test.go
@@ -88,6 +88,7 @@
 		proxies: map[string]*proxy{}, routes: initialRoutes(), revoked: map[string]bool{}, started: time.Now(),
 		addressBlock: freeBlock(t),
 	}
+	d.store.SetEra(1)
 	t.Cleanup(d.cloud.Close)
 	d.checker = newChecker(d.disturbances, d.history)
 	d.store.SetRewrite(func(table, _ string, value []byte) []byte {
--- a/tests/soak/drill_test.go
+++ b/tests/soak/drill_test.go
@@ -57,7 +57,7 @@
 func runDrills(t *testing.T, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, drillStream))
 	d := newDeployment(t, *vmCount)
-	d.store.SetEra(1)
+
 	ctx, cancel := context.WithCancel(context.Background())
 	callers := d.begin(ctx, t, random, seed)
 	for i := range len(domains) {
