Count the time with the larger share across pauses

What operators would see: a good version of a service with usual faults is late more often, since it begins the time with the larger share anew whenever it falls back into its trial for a moment.

Change: the time and the answers with the larger share add up; what comes in between isn't counted.

--- a/internal/decide/brrollout/evaluator.go
+++ b/internal/decide/brrollout/evaluator.go
@@ -92,9 +92,29 @@
 type trial struct {
 	startedAt time.Time // the latest time at which the rollout may have started
 	history   []snapshot
-	warmup    broption.Option[snapshot] // when the trial ended
+	warmup    warmup
 }
 
+// warmup is the time that a version has had the larger share, and its answers in that time.
+type warmup struct {
+	elapsed time.Duration
+	tally   brstatus.Tally
+	last    broption.Option[snapshot] // of the evaluation before, if the version had the larger share
+}
+
+// extend adds the time and the answers since the last evaluation.
+func (w *warmup) extend(now time.Time, tally brstatus.Tally) {
+	if last, ok := w.last.Get(); ok {
+		w.elapsed += now.Sub(last.at)
+		w.tally = w.tally.Add(tally.Sub(last.tally))
+	}
+	w.last = broption.Some(snapshot{at: now, tally: tally})
+}
+
+// pause ends the time with the larger share for now. Answers to a few requests tell nothing of how
+// a version does with more, and are not counted.
+func (w *warmup) pause() { w.last = broption.None[snapshot]() }
+
 // snapshot is a tally with its time.
 type snapshot struct {
 	at    time.Time
@@ -186,18 +206,17 @@
 	case progress.reached(deadlineAt) && isQuiet:
 		return Decision{state: brfleet.RolloutSucceeded, share: warmupFactor * limits.share}
 	case !isGood || !progress.reached(trialEnd) || tally.TargetGood() < minGoodAnswers:
-		t.warmup = broption.None[snapshot]()
+		t.warmup.pause()
 		missing := limits.wanted() - float64(tally.Target())
 		share := max(trialFactor*limits.share, progress.shareFor(t.rate(now, recent), missing, trialEnd))
 		return Decision{state: brfleet.RolloutRunning, share: share}
 	}
-	begun := t.beginWarmup(now, tally)
-	warmup := tally.Sub(begun.tally)
-	isWarm := now.Sub(begun.at) >= progress.at(warmupPart) && warmup.TargetGood() >= minGoodAnswers
+	t.warmup.extend(now, tally)
+	isWarm := t.warmup.elapsed >= progress.at(warmupPart) && t.warmup.tally.TargetGood() >= minGoodAnswers
 	if progress.reached(successAt) && isWarm {
 		return Decision{state: brfleet.RolloutSucceeded, share: warmupFactor * limits.share}
 	}
-	missing := limits.wanted() - float64(warmup.Target())
+	missing := limits.wanted() - float64(t.warmup.tally.Target())
 	share := max(warmupFactor*limits.share, progress.shareFor(t.rate(now, recent), missing, successAt))
 	return Decision{state: brfleet.RolloutRunning, share: share}
 }
@@ -261,18 +280,6 @@
 	return tally.Sub(t.history[0].tally)
 }
 
-// beginWarmup returns the tally at the end of the trial, which is now if it has not ended before.
-// A version that falls back into its trial has to pass it, and the time after it, again: answers
-// to a few requests tell nothing of how it does with more.
-func (t *trial) beginWarmup(now time.Time, tally brstatus.Tally) snapshot {
-	begun, ended := t.warmup.Get()
-	if !ended {
-		begun = snapshot{at: now, tally: tally}
-		t.warmup = broption.Some(begun)
-	}
-	return begun
-}
-
 // rate returns the requests of the service per second in the recent window, or 0 while that is
 // too short: answers take a time to be counted, so that the rate would seem too low.
 func (t *trial) rate(now time.Time, recent brstatus.Tally) float64 {
