Let no connection exceed the budget for bytes read ahead for a moment

Cause: a connection that found the budget used up added its chunk and took it back.

Change: the chunk is added by compare-and-swap, only where there is room.

Evidence: TestBudgetIsNeverExceeded fails on the code before ("4196352 bytes are used") and passes now.

--- a/internal/service/brfront/connection.go
+++ b/internal/service/brfront/connection.go
@@ -29,11 +29,15 @@
 
 // acquire takes a chunk of the budget and reports whether there was one left.
 func (b *aheadBudget) acquire() bool {
-	if b.used.Add(aheadChunk) <= maxAheadTotal {
-		return true
+	for {
+		used := b.used.Load()
+		if used+aheadChunk > maxAheadTotal {
+			return false
+		}
+		if b.used.CompareAndSwap(used, used+aheadChunk) {
+			return true
+		}
 	}
-	b.used.Add(-aheadChunk)
-	return false
 }
 
 func (b *aheadBudget) release(chunks int) { b.used.Add(-int64(chunks) * aheadChunk) }
--- a/internal/service/brfront/connection_test.go
+++ b/internal/service/brfront/connection_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -206,6 +207,28 @@
 	s.awaitClosed(t)
 }
 
+// Connections that find the budget used up take nothing of it, not even for a moment: another one
+// would find it used up, too.
+func TestBudgetIsNeverExceeded(t *testing.T) {
+	budget := &aheadBudget{}
+	budget.used.Store(maxAheadTotal)
+	group := sync.WaitGroup{}
+	for range 4 {
+		group.Go(func() {
+			for range 20_000 {
+				if budget.acquire() {
+					t.Error("the budget is used up")
+				}
+				if used := budget.used.Load(); used != maxAheadTotal {
+					t.Errorf("%d bytes are used", used)
+					return
+				}
+			}
+		})
+	}
+	group.Wait()
+}
+
 // The time limit for the next head holds although the connection read ahead before, and the
 // connection is closed without an answer.
 func TestIdleConnectionIsClosedAfterReadingAhead(t *testing.T) {
